Watch a release under all of the load before the old one is given up

Besides, silence and failures were one count, so that a route on which 26 in 100 calls fail by nature hid four silences; and a call that fails on every endpoint counted on each ("4 of 8 failed" were two calls and their repeats), which took a good release back.

Change: the old release is kept for 0.15 of the time given after the move as this node saw it; silence is counted by itself, before the move only (under all of the load and a burst, 8 of 55 calls on a good release were silent); a call that failed before adds no answer. The course of a roll-out is played at a node on the stand-ins.

Ruled out: fewer endpoints for the trial, so that each is as loaded as before: at 0.12 of the calls, one of three endpoints still meets under half of the usual load.

--- a/knapweedhinge/controllers/releasebook.py
+++ b/knapweedhinge/controllers/releasebook.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from knapweedhinge.routing.releases import Release
+from knapweedhinge.routing.releases import Release, Stage
 from knapweedhinge.routing.releaseverdict import CallKind, Tally, Verdict, judge
 
 
@@ -87,7 +87,7 @@
             if service == release.service:
                 side = new if version == release.version else old
                 side[kind] = side.get(kind, Tally()).plus(tally)
-        return judge(new, old)
+        return judge(new, old, moved=release.stage is Stage.MOVING)
 
     def old_in_use(self, release: Release) -> int:
         """Return how many calls run on other versions of the service, on all nodes."""
--- a/knapweedhinge/controllers/releasecontrol.py
+++ b/knapweedhinge/controllers/releasecontrol.py
@@ -39,6 +39,8 @@
         self._book = book
         self._records = records
         self._is_owner = is_owner
+        # When this node first saw all traffic move to a release, on the store's clock.
+        self._moved_at: dict[Release, float] = {}
 
     def running(self) -> list[Release]:
         """Return the roll-outs that are not at their end."""
@@ -48,17 +50,19 @@
 
     async def step(self, now: float) -> None:
         """Take each roll-out of this node's one stage on, if it is due."""
-        self._forget_failed()
+        self._forget_ended()
         for release in self.running():
             if self._is_owner(release.service):
                 await self._step(release, now)
 
-    def _forget_failed(self) -> None:
-        """Keep the evidence on a bad release from the judgement of the next one."""
+    def _forget_ended(self) -> None:
+        """Keep what was seen of one roll-out from the judgement of the next one."""
         view = self._fleet.view
         for release in map(view.release, view.orders):
             if release is not None and release.stage is Stage.ROLLED_BACK:
                 self._book.forget(release.service, release.version)
+        running = set(self.running())
+        self._moved_at = {k: v for k, v in self._moved_at.items() if k in running}
 
     async def _step(self, release: Release, now: float) -> None:
         staged = self._fleet.view.stages.get(release.service)
@@ -68,10 +72,17 @@
             return
         verdict = self._book.verdict(release)
         in_use = self._book.old_in_use(release)
-        stage = next_stage(release, verdict, in_use, store_now)
+        moved_s = self._moved_s(release, store_now)
+        stage = next_stage(release, verdict, in_use, moved_s, store_now)
         if stage is not None:
             await self._record(release, stage, release.began_at, verdict.reason)
 
+    def _moved_s(self, release: Release, store_now: float) -> float:
+        """Return for how long all traffic has gone to a release, as far as we saw."""
+        if release.stage is not Stage.MOVING:
+            return 0.0
+        return store_now - self._moved_at.setdefault(release, store_now)
+
     async def _record(
         self, release: Release, stage: Stage, began_at: float, reason: str
     ) -> None:
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -179,9 +179,9 @@
         if not isinstance(exc, PoolFullError):
             unreachable = isinstance(exc, ConnectFailedError)
             self._ctx.health.failed(self.endpoint.id, now, unreachable=unreachable)
-        silent = exc.code is ResultCode.ENDPOINT_TIMEOUT
-        if silent and is_crowded(self._call_kind):
-            self._tell(Tally(paces=self._paces()))
+        if exc.code is ResultCode.ENDPOINT_TIMEOUT:
+            answers = int(not is_crowded(self._call_kind))
+            self._tell(Tally(answers, silent=answers, paces=self._paces()))
         elif exc.run_state is not RunState.NOT_RUN:
             self._count(None, bad=True)
         if self.sent and exc.code is ResultCode.ANSWER_TRUNCATED:
@@ -272,7 +272,7 @@
 
     def _count(self, first_s: float | None, *, bad: bool) -> None:
         timed = None if bad or self._was_cold else first_s
-        self._tell(Tally(1, int(bad), log_times(timed), self._paces()))
+        self._tell(Tally(1, int(bad), firsts=log_times(timed), paces=self._paces()))
 
     def _paces(self) -> LogTimes:
         """Return the pace of the pieces; a cold endpoint's says nothing of others."""
@@ -281,6 +281,12 @@
         return log_times(pace_s(self.pieces, self._last_at - self._first_at))
 
     def _tell(self, tally: Tally) -> None:
+        """Tell what the call says of the release.
+
+        A call that failed before tells more of itself: some fail wherever they run.
+        """
+        if self._owner.attempts:
+            tally = Tally(firsts=tally.firsts, paces=tally.paces)
         self._ctx.releases.answered(
             self._owner.req.service, self._version, self._call_kind, tally
         )
--- a/knapweedhinge/routing/releases.py
+++ b/knapweedhinge/routing/releases.py
@@ -5,7 +5,8 @@
 traffic goes on. The trial gives the release a fixed share of sessions, the same on all
 nodes, so that a session stays where it began. Only when the trial has been good for
 half of the time given does everything move; a release that turns bad late is seen
-before that.
+before that. One that fails under load alone shows it then: the old release is kept
+ready for a while under all of the load, so that there is a way back.
 """
 
 from dataclasses import dataclass
@@ -22,6 +23,10 @@
 TRIAL_OF_BOUND = 0.8
 MOVE_AT = 0.52  # part of the time given at which all traffic moves
 FINISH_AT = 0.85  # part at which the old release is given up, idle or not
+# Part of the time given for which a release is watched under all of the load before the
+# old one is given up. What a bad one gets meanwhile is within the voted bound together
+# with its trial, as long as the verdict takes half of this.
+PROVE_FOR = 0.15
 SETTLE_S = 0.4  # time for all nodes to hear of a stage
 
 
@@ -82,11 +87,12 @@
 
 
 def next_stage(
-    release: Release, verdict: Verdict, old_in_use: int, now: float
+    release: Release, verdict: Verdict, old_in_use: int, moved_s: float, now: float
 ) -> Stage | None:
     """Return the stage to go on to, None to stay.
 
-    ``old_in_use`` counts calls that still run on the old release, on all nodes.
+    ``old_in_use`` counts calls that still run on the old release, on all nodes;
+    ``moved_s`` is the time since all traffic moved, 0 before that.
     """
     if release.stage in FINAL:
         return None
@@ -96,6 +102,6 @@
     if release.stage is Stage.TRIAL:
         due = elapsed >= MOVE_AT * release.period_s
         return Stage.MOVING if due and verdict.good else None
-    moved_s = elapsed - MOVE_AT * release.period_s
-    idle = not old_in_use and moved_s > SETTLE_S
-    return Stage.COMPLETE if idle or elapsed >= FINISH_AT * release.period_s else None
+    proven = moved_s > max(SETTLE_S, PROVE_FOR * release.period_s)
+    over = elapsed >= FINISH_AT * release.period_s
+    return Stage.COMPLETE if over or (proven and not old_in_use) else None
--- a/knapweedhinge/routing/releaseverdict.py
+++ b/knapweedhinge/routing/releaseverdict.py
@@ -7,9 +7,10 @@
 way and a queue hide a slow engine behind the first piece, and not behind the others.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from math import exp, log, sqrt
+from operator import attrgetter
 
 import msgspec
 
@@ -67,12 +68,14 @@
 class Tally(msgspec.Struct, frozen=True, array_like=True):
     """Answers of one release to calls of one kind.
 
-    ``firsts`` are times to the first piece of good answers, ``paces`` mean times from
-    piece to piece, also of answers that nobody waited for to the end.
+    ``bad`` ones were failures, ``silent`` ones didn't come in the time that such calls
+    are given. ``firsts`` are times to the first piece of good answers, ``paces`` mean
+    times from piece to piece, also of answers that nobody waited for to the end.
     """
 
     answers: int = 0
     bad: int = 0
+    silent: int = 0
     firsts: LogTimes = LogTimes()
     paces: LogTimes = LogTimes()
 
@@ -81,6 +84,7 @@
         return Tally(
             self.answers + other.answers,
             self.bad + other.bad,
+            self.silent + other.silent,
             self.firsts.plus(other.firsts),
             self.paces.plus(other.paces),
         )
@@ -132,46 +136,49 @@
     return between_s / (pieces - 1) if pieces >= MIN_PIECES else None
 
 
-def judge(new: Tallies, old: Tallies) -> Verdict:
-    """Compare a release with the one before it, as a whole and by route."""
-    reason = _failing(new, old) or _slow(new, old)
-    if reason:
-        return Verdict(True, False, f"all routes: {reason}")
-    for route in sorted({kind.route for kind in new}):
-        part = {kind: one for kind, one in new.items() if kind.route == route}
-        reason = _failing(part, old) or _slow(part, old)
+def judge(new: Tallies, old: Tallies, *, moved: bool = False) -> Verdict:
+    """Compare a release with the one before it, as a whole and by route.
+
+    Once all traffic has ``moved``, the new release bears more than the old one ever
+    did while it was watched, and its silence is no measure any more.
+    """
+    routes = sorted({kind.route for kind in new})
+    for route in (None, *routes):
+        part = {kind: one for kind, one in new.items() if route in (None, kind.route)}
+        reason = (
+            _beyond_usual(part, old, "failed", attrgetter("bad"))
+            or (not moved and _beyond_usual(part, old, "silent", attrgetter("silent")))
+            or _slow(part, old)
+        )
         if reason:
-            return Verdict(True, False, f"{route}: {reason}")
+            return Verdict(True, False, f"{route or 'all routes'}: {reason}")
     total = _sum(new.values())
-    good = total.answers - total.bad
+    good = total.answers - total.bad - total.silent
     return Verdict(False, good >= MIN_GOOD, f"{good} of {total.answers} good")
 
 
-def _failing(new: Tallies, old: Tallies) -> str:
-    """Say what failed beyond what the old release lets expect on the same routes.
+def _beyond_usual(
+    new: Tallies, old: Tallies, what: str, count: Callable[[Tally], int]
+) -> str:
+    """Say what is counted beyond what the old release lets expect, over all routes.
 
-    This is the score test that Wilson's bound inverts, over routes of unlike shares:
-    on one, answers always fail in part, on another they never do.
+    On one route answers always fail in part, on another they never do. This is the
+    score test that Wilson's bound inverts.
     """
-    before = _by_route(old)
-    overall = _sum(old.values())
-    total = _sum(new.values())
+    overall, before = _sum(old.values()), _by_route(old)
+    prior = ROUTE_PRIOR * count(overall) / max(1, overall.answers)
     expected = variance = 0.0
     for route, tally in _by_route(new).items():
-        most = min(1.0, _usual_share(before.get(route, Tally()), overall) + BAD_MARGIN)
+        known = before.get(route, Tally())
+        usual = (count(known) + prior) / (known.answers + ROUTE_PRIOR)
+        most = min(1.0, usual + BAD_MARGIN)
         expected += tally.answers * most
         variance += tally.answers * most * (1.0 - most)
-    if total.bad < MIN_BAD or total.bad <= expected + Z_FAILURES * sqrt(variance):
+    total = _sum(new.values())
+    found = count(total)
+    if found < MIN_BAD or found <= expected + Z_FAILURES * sqrt(variance):
         return ""
-    return f"{total.bad} of {total.answers} failed, at most {expected:.1f} expected"
-
-
-def _usual_share(route: Tally, overall: Tally) -> float:
-    """Return the share of failures on a route, led by all routes while it is young."""
-    if not overall.answers:
-        return 0.0
-    prior = ROUTE_PRIOR * overall.bad / overall.answers
-    return (route.bad + prior) / (route.answers + ROUTE_PRIOR)
+    return f"{found} of {total.answers} {what}, at most {expected:.1f} expected"
 
 
 def _slow(new: Tallies, old: Tallies) -> str:
--- /dev/null
+++ b/tests/platform/test_rollouts.py
@@ -0,0 +1,111 @@
+"""The course of a roll-out at a node, from the order to the state operators read."""
+
+import asyncio
+from itertools import count
+
+import msgspec
+import pytest
+
+from knapweedhinge.conf.relay import Promises
+from knapweedhinge.controllers.releasebook import ReleaseReport
+from knapweedhinge.routing.releases import Release, in_trial, trial_share
+from knapweedhinge.test.replica import Replica
+from tests.platform.world import World, catalog, request
+
+PERIOD_S = 4.0
+AT_ONCE = 6  # callers that ask one call after the other
+EXPOSURE = 0.15  # the voted share
+SLACK = 30  # calls above the voted share, by the users' rules
+PROMISES = Promises(grace_s=1.0, exposure=EXPOSURE)
+
+
+def shops() -> tuple[list[Replica], list[Replica]]:
+    """Return endpoints of the old and of the new release."""
+    old = [Replica(f"old-{n}", "shop", version="v1") for n in range(2)]
+    new = [Replica(f"new-{n}", "shop", version="v2") for n in range(2)]
+    return old, new
+
+
+def order(world: World) -> None:
+    body = {"service": "shop", "to": "v2", "periodS": PERIOD_S}
+    world.store.put("op", "rollout/shop", body)
+
+
+def state(world: World) -> str | None:
+    found = world.status("shop")
+    return found["state"] if found else None
+
+
+async def play(world: World, until: str) -> None:
+    """Let callers ask until operators read a state."""
+    ids = count()
+
+    async def ask() -> None:
+        while state(world) != until:
+            await world.ask(request("/look/x", request_id=f"r{next(ids)}"))
+
+    async with asyncio.timeout(PERIOD_S + 2), asyncio.TaskGroup() as group:
+        for _ in range(AT_ONCE):
+            group.create_task(ask())
+
+
+async def test_a_good_release_gets_everything_in_the_end():
+    old, new = shops()
+    async with World([*old, *new], catalog(), promises=PROMISES) as world:
+        order(world)
+        await play(world, "complete")
+        before = sum(len(one.calls) for one in old)
+        for n in range(10):
+            reply = await world.ask(request("/look/x", request_id=f"after{n}"))
+            assert reply.status == 200
+    assert sum(len(one.calls) for one in old) == before
+
+
+BAD = [
+    # fields of the new endpoints' faults
+    {"fail": True},
+    {"reset": True},
+    {"late_s": 0.2},
+    {"mute": True},
+]
+
+
+@pytest.mark.parametrize("faults", BAD)
+async def test_a_bad_release_is_taken_back_within_the_voted_share(faults):
+    old, new = shops()
+    for one in old:
+        one.faults.late_s = 0.02
+    for one in new:
+        for name, value in faults.items():
+            setattr(one.faults, name, value)
+    async with World([*old, *new], catalog(), promises=PROMISES) as world:
+        order(world)
+        await play(world, "rolled_back")
+        got = sum(len(one.calls) for one in new)
+        all_calls = got + sum(len(one.calls) for one in old)
+        assert got <= EXPOSURE * all_calls + SLACK
+        for n in range(30):
+            reply = await world.ask(request("/look/x", request_id=f"after{n}"))
+            assert reply.status == 200
+    assert sum(len(one.calls) for one in new) == got
+
+
+async def test_a_call_that_fails_wherever_it_runs_counts_once():
+    old, new = shops()
+    for one in new:
+        one.faults.fail = True
+    release = Release("shop", "v2", PERIOD_S)
+    names = (f"r{n}" for n in count())
+    chosen = [next(n for n in names if in_trial(n, release, trial_share(EXPOSURE)))]
+    chosen += [next(n for n in names if in_trial(n, release, trial_share(EXPOSURE)))]
+    async with World([*old, *new], catalog(), promises=PROMISES) as world:
+        order(world)
+        await world.until(lambda: state(world) == "running")
+        for name in chosen:
+            await world.ask(request("/look/x", request_id=name))
+        report = msgspec.msgpack.decode(
+            world.node.ctx.releases.report(frozenset({"shop"})), type=ReleaseReport
+        )
+    assert sum(len(one.calls) for one in new) > len(chosen)
+    tallies = [row.tally for row in report.tallies if row.version == "v2"]
+    assert sum(one.bad for one in tallies) == len(chosen)
--- a/tests/routing/test_releases.py
+++ b/tests/routing/test_releases.py
@@ -5,6 +5,7 @@
 from knapweedhinge.routing.releases import (
     FINISH_AT,
     MOVE_AT,
+    PROVE_FOR,
     Release,
     Stage,
     in_trial,
@@ -56,8 +57,11 @@
     (Stage.TRIAL, BAD, 0.1, 9, Stage.ROLLED_BACK),
     (Stage.MOVING, BAD, 0.6, 9, Stage.ROLLED_BACK),
     (Stage.MOVING, GOOD, MOVE_AT + 0.01, 0, None),
-    (Stage.MOVING, GOOD, 0.6, 0, Stage.COMPLETE),
-    (Stage.MOVING, GOOD, 0.6, 3, None),
+    # Under all of the load the release is watched before the old one is given up.
+    (Stage.MOVING, GOOD, MOVE_AT + PROVE_FOR - 0.01, 0, None),
+    (Stage.MOVING, GOOD, MOVE_AT + PROVE_FOR + 0.01, 0, Stage.COMPLETE),
+    (Stage.MOVING, GOOD, MOVE_AT + PROVE_FOR + 0.01, 3, None),
+    (Stage.MOVING, BAD, MOVE_AT + PROVE_FOR + 0.01, 0, Stage.ROLLED_BACK),
     (Stage.MOVING, GOOD, FINISH_AT, 3, Stage.COMPLETE),
     (Stage.COMPLETE, BAD, 0.9, 0, None),
     (Stage.ROLLED_BACK, GOOD, 0.9, 0, None),
@@ -67,4 +71,10 @@
 @pytest.mark.parametrize("stage,verdict,part,in_use,expected", STEPS)
 def test_steps(stage, verdict, part, in_use, expected):
     now = 100.0 + part * PERIOD_S
-    assert next_stage(release(stage), verdict, in_use, now) == expected
+    moved_s = max(0.0, (part - MOVE_AT) * PERIOD_S) if stage is Stage.MOVING else 0.0
+    assert next_stage(release(stage), verdict, in_use, moved_s, now) == expected
+
+
+def test_a_release_that_moved_late_is_watched_as_long():
+    now = 100.0 + 0.8 * PERIOD_S
+    assert next_stage(release(Stage.MOVING), GOOD, 0, 0.1, now) is None
--- a/tests/routing/test_releaseverdict.py
+++ b/tests/routing/test_releaseverdict.py
@@ -34,7 +34,7 @@
 
 
 def tally(answers: int, bad: int = 0, first_s: float = 0.5) -> Tally:
-    return Tally(answers, bad, times(answers - bad, first_s))
+    return Tally(answers, bad, firsts=times(answers - bad, first_s))
 
 
 FAILING = [
@@ -65,6 +65,19 @@
         True,
         False,
     ),
+    # Silence stands out where failures are common.
+    (
+        {kind(): Tally(15, bad=4, silent=4)},
+        {kind(): Tally(86, bad=26, silent=1)},
+        True,
+        False,
+    ),
+    (
+        {kind(): Tally(15, bad=4, silent=1)},
+        {kind(): Tally(86, bad=26, silent=1)},
+        False,
+        True,
+    ),
     # A route that the old release never answered is measured by the others.
     ({kind(): tally(6, 3)}, {kind("q"): tally(50)}, True, False),
     # Failures count whatever the crowding was.
@@ -108,6 +121,21 @@
     assert (verdict.bad, verdict.good) == (bad, good)
 
 
+MOVED = [
+    # new tally, whether it is bad before and after all traffic moved to it
+    (Tally(55, silent=8), True, False),
+    (Tally(55, bad=8), True, True),
+    (tally(8, 0, 4.0), True, True),
+]
+
+
+@pytest.mark.parametrize("new,before,after", MOVED)
+def test_silence_under_all_of_the_load_is_no_measure(new, before, after):
+    old = {kind(): tally(300)}
+    assert judge({kind(): new}, old).bad is before
+    assert judge({kind(): new}, old, moved=True).bad is after
+
+
 def spread(rng: Random, middle_s: float, count: int, by: float = 0.45) -> list[float]:
     return [middle_s * rng.lognormvariate(0.0, by) for _ in range(count)]
 
@@ -126,7 +154,9 @@
 def crowded_old(rng: Random) -> dict[CallKind, Tally]:
     return {
         kind(band=band): Tally(
-            count, 0, sum_up(spread(rng, first, count)), sum_up(spread(rng, pace, 30))
+            count,
+            firsts=sum_up(spread(rng, first, count)),
+            paces=sum_up(spread(rng, pace, 30)),
         )
         for band, (first, pace, count) in CROWDED_OLD.items()
     }
@@ -135,7 +165,11 @@
 @pytest.mark.parametrize("seed", range(20))
 def test_a_slow_release_does_not_hide_behind_a_crowded_one(seed):
     rng = Random(seed)
-    new = Tally(19, 0, sum_up(spread(rng, 0.06, 12)), sum_up(spread(rng, 0.09, 6, 0.1)))
+    new = Tally(
+        19,
+        firsts=sum_up(spread(rng, 0.06, 12)),
+        paces=sum_up(spread(rng, 0.09, 6, 0.1)),
+    )
     verdict = judge({kind(): new}, crowded_old(rng))
     assert verdict.bad, verdict.reason
 
@@ -152,7 +186,9 @@
             first, pace, _ = CROWDED_OLD[band]
             first, pace = (first, pace) if n < 40 else (3 * first, 3 * pace)
             one = Tally(
-                1, 0, sum_up(spread(rng, first, 1)), sum_up(spread(rng, pace, 1))
+                1,
+                firsts=sum_up(spread(rng, first, 1)),
+                paces=sum_up(spread(rng, pace, 1)),
             )
             new[kind(band=band)] = new.get(kind(band=band), Tally()).plus(one)
             if judge(new, old).bad:
