Cut two nodes that probe each other

Ruled out: load by itself, self-doubt, dials under way as the cut begins (all earlier).

Change: the test waits until the rings are those of all five nodes and cuts a node from a neighbour by them; what it asks for is the same.

--- a/tests/peers/test_failures.py
+++ b/tests/peers/test_failures.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from knapweedhinge.conf.node import PeerSettings
 from knapweedhinge.core.exceptions import PeerError
 from knapweedhinge.peers import MemberState, Peers
+from knapweedhinge.peers.topology import neighbours, rings
 from tests.peers.conftest import QUICK, FakeTable, fleet, make_settings, until
 
 # Longer than a suspicion and the delay of an announcement, so that none is missed.
@@ -75,15 +77,31 @@
 async def test_a_cut_between_two_nodes_kills_neither():
     async with fleet(5, **QUICK) as nodes:
         dead = ever_dead(nodes)
-        with cut((nodes[0], nodes[1])):
+        # Only neighbours probe each other; for others a cut changes nothing.
+        await until(lambda: all(has_its_rings(node) for node in nodes))
+        other = neighbour_of(nodes[0], nodes)
+        with cut((nodes[0], other)):
             before = sent(nodes, "indirect-probe")
             await until(lambda: sent(nodes, "indirect-probe") > before + 6)
             nodes[0].publish("cut", "k", 1, b"")
-            await until(lambda: nodes[1].entries("cut"))
+            await until(lambda: other.entries("cut"))
         await asyncio.sleep(SETTLE_S)
         assert dead == set()
 
 
+def has_its_rings(node):
+    """Return whether a node's neighbours are those among all that it knows now."""
+    known = tuple(node.membership.active)
+    count = rings(PeerSettings().fanout)
+    return node._engine.neighbours == neighbours(node.me, known, count)
+
+
+def neighbour_of(node, nodes):
+    """Return a node that the first one keeps a connection to by its rings."""
+    vms = {member.vm for member in node._engine.neighbours.all}
+    return next(other for other in nodes if other.me.vm in vms)
+
+
 def sent(nodes, cause):
     return sum(node.state(0.0).counts[cause].sent for node in nodes)
 
