--- a/tests/bench/test_relay_loads.py
+++ b/tests/bench/test_relay_loads.py
@@ -42,6 +42,11 @@
     assert aware.on_time > blind.on_time
 
 
+def test_pressed_engines_answer_as_well_on_the_whole():
+    aware = sum(play(load).worth for load in PRESSED)
+    assert aware >= sum(play(load, without_crowding).worth for load in PRESSED)
+
+
 def test_pressed_engines_answer_as_well():
     """Answers in time should not cost more in quality than they bring."""
     for load in PRESSED:
