Bound the connections and bodies of callers by the process's limits

Change: `process.files` and `process.memory_mb` come from the platform's `maxFds` and `memoryMb`. Above half of the free descriptors the connections that were silent longest are closed or get 408, a twentieth of them at once; above a fifth of the memory the largest body that is still arriving gets 503 with Retry-After, which is true: it never ran. A whole request is never given up for this.

Ruled out: leaving it to the header time-out (3 s): at 1,300 new connections a second the descriptors are gone first. Closing idle connections before half-open ones: the newest caller is idle too, and was the one that lost.

Not counted yet: what is written to slow readers, and whole answers.

--- a/knapweedhinge/conf/relay.py
+++ b/knapweedhinge/conf/relay.py
@@ -59,6 +59,21 @@
     region: str = setting("Name of its region.")
 
 
+@dataclass(frozen=True)
+class ProcessLimits:
+    """What the machine leaves to the process."""
+
+    files: int = setting(
+        "Descriptors that connections may use.", default=1024, minimum=64
+    )
+    memory_mb: float = setting(
+        "Memory beyond which the process is killed.",
+        default=512.0,
+        minimum=64.0,
+        unit="MB",
+    )
+
+
 @dataclass(frozen=True)
 class RelaySettings:
     """All settings of such a node, passed whole."""
@@ -68,6 +83,7 @@
     platform: PlatformSettings = setting("The store that keeps what must last.")
     promises: Promises = setting("Bounds the nodes are held to.")
     places: tuple[Place, ...] = setting("All failure domains.", default=())
+    process: ProcessLimits = setting("Limits of the process.", factory=ProcessLimits)
     peers: PeerSettings = setting("Peers.", factory=PeerSettings)
     log: LogSettings = setting("Logs.", factory=LogSettings)
 
--- a/knapweedhinge/http1/server.py
+++ b/knapweedhinge/http1/server.py
@@ -20,17 +20,25 @@
 SWEEP_S = 0.5  # how often idle and slow connections are looked for
 WRITE_BUFFER_BYTES = 128 * 1024  # a slow reader holds back its stream beyond this
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
+# Part of the connections allowed that are closed at once when there are too many, so
+# that a flood costs one look at all of them for each of these.
+EVICTED = 0.05
 RETRY_ELSEWHERE = ((b"Retry-After", b"0.1"),)  # other servers take it at once
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What a client may send; times in seconds."""
+    """What a client may send, and all clients together; times in seconds.
+
+    ``max_held_bytes`` bounds the bodies of all requests that are not answered yet.
+    """
 
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 4 * 1024 * 1024
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    max_connections: int = 4096
+    max_held_bytes: int = 64 * 1024 * 1024
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -59,6 +67,7 @@
         self.active_at = 0.0
         self.began_at: float | None = None
         self.in_head = False
+        self.held_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
@@ -75,12 +84,23 @@
         """Return whether no request is being read or answered."""
         return self._current is None and self.began_at is None
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether a whole request of the client is being answered."""
+        return self._current is not None
+
+    @property
+    def reading_bytes(self) -> int:
+        """Return how much there is of a body that isn't whole yet."""
+        return 0 if self.began_at is None else self._body_bytes
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Take the transport over."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.active_at = self.server.clock()
         self.server.connections.add(self)
+        self.server.make_room()
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived; after a fault nothing more is read."""
@@ -160,6 +180,12 @@
         if self._body_bytes > self.server.limits().max_body_bytes:
             raise _BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self.chunks.append(bytes(data))
+        self._hold(len(data))
+        if self.server.held_bytes > self.server.limits().max_held_bytes:
+            largest = self.server.largest_reader()
+            if largest is self:
+                raise _BadRequestError(HTTPStatus.SERVICE_UNAVAILABLE)
+            largest.give_way(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def on_message_complete(self) -> None:
         """Hand the request over, or queue it behind the one being answered."""
@@ -190,6 +216,8 @@
         if exchange is not self._current:
             return
         self._current = None
+        if not self.gone:
+            self._hold(-len(exchange.body))
         if not exchange.keep_alive:
             self._close()
         elif self._waiting:
@@ -209,6 +237,13 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
+    def give_way(self, status: int) -> None:
+        """Make room for other clients: close if idle, else refuse what is read."""
+        if self.is_idle:
+            self._close()
+        else:
+            self._refuse(status)
+
     def close_idle(self) -> None:
         """Close a connection that does nothing."""
         if self.is_idle and not self.gone:
@@ -250,24 +285,31 @@
     def _refuse(self, status: int) -> None:
         """Read nothing more; answer the fault after the requests before it."""
         self._fault = status
+        self._hold(-self.reading_bytes)
+        self.chunks = []
+        self._body_bytes = 0
         self.server.on_fault(status)
         if self._current is None:
             self._write_fault()
 
     def _write_fault(self) -> None:
-        reason = REASONS[self._fault]
-        self.write(
-            b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-            % (self._fault, reason)
-        )
+        head = b"HTTP/1.1 %d %s\r\n" % (self._fault, REASONS[self._fault])
+        if self._fault == HTTPStatus.SERVICE_UNAVAILABLE:
+            head += b"%s: %s\r\n" % RETRY_ELSEWHERE[0]
+        self.write(head + b"Content-Length: 0\r\nConnection: close\r\n\r\n")
         self._close()
 
     def _close(self) -> None:
         if self._transport is not None:
             self._transport.close()
 
+    def _hold(self, size: int) -> None:
+        self.held_bytes += size
+        self.server.held_bytes += size
+
     def _leave(self) -> None:
         self.gone = True
+        self._hold(-self.held_bytes)
         self._waiting.clear()
         self._release_writer()
         current = self._current
@@ -300,6 +342,7 @@
         self.clock = clock
         self.on_fault = on_fault
         self.connections: set[_Connection] = set()
+        self.held_bytes = 0
         self.draining = False
         self.closed = False
         self.port = 0
@@ -311,6 +354,36 @@
         """Return how many connections have a request being read or answered."""
         return sum(not one.is_idle for one in self.connections)
 
+    def make_room(self) -> None:
+        """Close connections if there are too many: those that were silent longest.
+
+        A request that is whole is always answered; where there are only those, the
+        newest connection goes.
+        """
+        most = self.limits().max_connections
+        if len(self.connections) <= most:
+            return
+        count = len(self.connections)
+        waiting = [one for one in self.connections if not one.is_answering]
+        waiting.sort(key=lambda one: one.active_at)
+        leaving = waiting[: max(1, int(EVICTED * most))]
+        for one in leaving:
+            self.connections.discard(one)
+            one.give_way(HTTPStatus.REQUEST_TIMEOUT)
+        if not leaving:
+            max(self.connections, key=lambda one: one.active_at).abort()
+        logger.bind(connections=count, closed=max(1, len(leaving))).warning(
+            "too many connections"
+        )
+
+    def largest_reader(self) -> "_Connection":
+        """Return the connection with the largest body that is still read."""
+        largest = max(self.connections, key=lambda one: one.reading_bytes)
+        logger.bind(held_bytes=self.held_bytes, largest=largest.reading_bytes).warning(
+            "bodies hold too much memory"
+        )
+        return largest
+
     async def start(self, ip: str, port: int) -> None:
         """Begin to listen."""
         loop = asyncio.get_running_loop()
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -47,6 +47,11 @@
 TAKING_SHARE = 0.3
 STOP_LOOK_S = 0.05  # how often a stopping node looks whether its calls have ended
 STOP_MARGIN_S = 0.6  # part of the time before SIGKILL that ending the process takes
+RESERVED_FILES = 200  # descriptors that the platform keeps for files
+CALLERS_FILES = 0.5  # part of the others for callers; the rest is for endpoints, peers
+# Part of the memory for bodies of calls that aren't answered yet; the program itself
+# and what is written to slow readers need the rest.
+BODIES_MEMORY = 0.2
 CRASH_PROBE_S = 1.0  # an endpoint isn't probed again within this time
 
 
@@ -271,15 +276,21 @@
         return Server(handle, self._limits, clock=self.clock, on_fault=on_fault)
 
     def _limits(self) -> Limits:
-        catalog = self.fleet.view.catalog
+        catalog, process = self.fleet.view.catalog, self.settings.process
+        files = max(process.files - RESERVED_FILES, process.files // 2)
+        room = {
+            "max_connections": int(CALLERS_FILES * files),
+            "max_held_bytes": int(BODIES_MEMORY * process.memory_mb * 1024 * 1024),
+        }
         if catalog is None:
-            return Limits()
+            return Limits(**room)
         known = catalog.limits
         return Limits(
             known.max_header_bytes,
             known.max_body_bytes,
             known.header_timeout_s,
             known.idle_timeout_s,
+            **room,
         )
 
     async def _serve_metrics(self, exchange: Exchange) -> None:
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -83,7 +83,11 @@
         "platform.addr": "10.0.0.9:8223",
     }
     text = re.sub(r"{{#zones}}.*?{{/zones}}", "", template, flags=re.DOTALL)
-    text = re.sub(r"{{#(bounds\.\w+)}}(.*?){{/\1}}", r"\2", text)
+    section = r"{{#(%s\.\w+)}}(.*?){{/\1}}"
+    text = re.sub(
+        section % "limits", lambda found: found[2].replace("{{.}}", "150"), text
+    )
+    text = re.sub(section % "bounds", r"\2", text)
     text = text.replace("{{.}}", "1")
 
     def fill(match):
@@ -96,3 +100,4 @@
     assert settings.listen.vm == "vm-1"
     assert settings.doors.metrics == "10.0.0.1:7341"
     assert settings.promises.grace_s == 1
+    assert (settings.process.files, settings.process.memory_mb) == (150, 150)
