Count a body that is too large before it is refused

Cause, found on reading the diff: the last part of a body over the limit was taken off the bytes held and had never been added; -39,072 after one such request until its connection ended. The test reads the count as the request is refused, and fails before.

Ruled out: other ends of a call (answered, refused before it is read, client gone).

--- a/knapweedhinge/http1/server.py
+++ b/knapweedhinge/http1/server.py
@@ -177,10 +177,10 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         self._body_bytes += len(data)
+        self._hold(len(data))
         if self._body_bytes > self.server.limits().max_body_bytes:
             raise _BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self.chunks.append(bytes(data))
-        self._hold(len(data))
         if self.server.held_bytes > self.server.limits().max_held_bytes:
             largest = self.server.largest_reader()
             if largest is self:
--- a/tests/platform/test_floods.py
+++ b/tests/platform/test_floods.py
@@ -101,3 +101,24 @@
         flood.close()
         await here.until(lambda: here.node.front.held_bytes == 0)
         assert not [one for one in here.replicas["shop-0"].calls if len(one.body) > 5]
+
+
+ENDED = [
+    # a request, its status
+    (request("/pay/x", body=bytes(LARGE + 1)), 413),
+    (request("/pay/x", body=bytes(LARGE - 1)), 200),
+    (request("/none/x", body=bytes(1000)), 404),
+]
+
+
+@pytest.mark.parametrize("data,status", ENDED)
+async def test_a_body_is_held_until_its_call_has_ended(data, status):
+    async with world() as here:
+        flood, front, seen = Flood(here), here.node.front, []
+        front.on_fault = lambda _: seen.append(front.held_bytes)
+        await flood.open(1, data)
+        await here.until(lambda: front.held_bytes == 0)
+        assert not any(seen)
+        (line,) = await flood.answers()
+        assert b" %d " % status in line
+        flood.close()
