Give a connection, an attempt's evidence and its placing modules of their own

Cause: http1/server.py (424 lines) and filters/relay/attempt.py (412) each held two concerns that a newcomer has to keep apart: the connection and the listener; one attempt, what it tells of its release, and how its endpoint is found.

Change: http1/connection.py, filters/relay/evidence.py, filters/relay/placing.py. No behaviour changes.

Ruled out: splitting run.py (334 lines) further, it is one sequence.

--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -9,7 +9,8 @@
 from knapweedhinge.conf.catalog import CallRoute, CallService
 from knapweedhinge.core.codes import ResultCode, RunState
 from knapweedhinge.core.exceptions import EndpointError, RefusedError
-from knapweedhinge.filters.relay.attempt import Run, least_crowding_s, open_run
+from knapweedhinge.filters.relay.attempt import Run, open_run
+from knapweedhinge.filters.relay.placing import least_crowding_s
 from knapweedhinge.filters.relay.types import (
     AnyRelayAnswer,
     RelayAnswer,
--- a/knapweedhinge/http1/__init__.py
+++ b/knapweedhinge/http1/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from knapweedhinge.http1.channel import Channel, ResponseHead
+from knapweedhinge.http1.connection import Limits
 from knapweedhinge.http1.errors import (
     AnswerBrokenError,
     AnswerTimeoutError,
@@ -14,7 +15,7 @@
 )
 from knapweedhinge.http1.exchange import Exchange
 from knapweedhinge.http1.pool import Pool, PoolSettings
-from knapweedhinge.http1.server import Limits, Server
+from knapweedhinge.http1.server import Server
 from knapweedhinge.http1.sse import EventSplitter, StreamEvent
 
 __all__ = [
--- a/knapweedhinge/http1/exchange.py
+++ b/knapweedhinge/http1/exchange.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from knapweedhinge.http1.server import _Connection
+    from knapweedhinge.http1.connection import Connection
 
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -28,7 +28,7 @@
         "version",
     )
 
-    def __init__(self, connection: "_Connection", received_at: float):
+    def __init__(self, connection: "Connection", received_at: float):
         self._connection = connection
         self._chunked = False
         self.method = connection.method
--- a/knapweedhinge/http1/server.py
+++ b/knapweedhinge/http1/server.py
@@ -1,327 +1,25 @@
 """A server for HTTP/1.1 that reads whole requests and is strict about framing."""
 
 import asyncio
-import socket
-import struct
 import time
-from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 
-import httptools
 from loguru import logger
 
-from knapweedhinge.core.detached import log_failure
-from knapweedhinge.http1.exchange import REASONS, Exchange
+from knapweedhinge.http1.connection import Connection, Limits
+from knapweedhinge.http1.exchange import Exchange
 
-MAX_PIPELINED = 16  # requests read ahead of the one that is answered
 BACKLOG = 1024  # connections the kernel keeps until they are accepted
 SWEEP_S = 0.5  # how often idle and slow connections are looked for
-WRITE_BUFFER_BYTES = 128 * 1024  # a slow reader holds back its stream beyond this
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
 # Part of the connections allowed that are closed at once when there are too many, so
 # that a flood costs one look at all of them for each of these.
 EVICTED = 0.05
-RETRY_ELSEWHERE = ((b"Retry-After", b"0.1"),)  # other servers take it at once
-
-
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """What a client may send, and all clients together; times in seconds.
-
-    ``max_held_bytes`` bounds the bodies of all requests that are not answered yet.
-    """
-
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-    max_connections: int = 4096
-    max_held_bytes: int = 64 * 1024 * 1024
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
-class _BadRequestError(Exception):
-    """A request that breaks a limit; ``status`` is its answer."""
-
-    def __init__(self, status: int):
-        self.status = status
-        super().__init__(status)
-
-
-class _Connection(asyncio.Protocol):
-    """A client's connection; requests are answered in the order they came."""
-
-    def __init__(self, server: "Server"):
-        self.server = server
-        self.gone = False
-        self.method = ""
-        self.target = bytearray()
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.http_version = "1.1"
-        self.keep_alive = True
-        self.active_at = 0.0
-        self.began_at: float | None = None
-        self.in_head = False
-        self.held_bytes = 0
-        self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._waiting: deque[Exchange] = deque()
-        self._current: Exchange | None = None
-        self._task: asyncio.Task | None = None
-        self._fault: int | None = None
-        self._can_write: asyncio.Future | None = None
-        self._paused = False
-
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request is being read or answered."""
-        return self._current is None and self.began_at is None
-
-    @property
-    def is_answering(self) -> bool:
-        """Return whether a whole request of the client is being answered."""
-        return self._current is not None
-
-    @property
-    def reading_bytes(self) -> int:
-        """Return how much there is of a body that isn't whole yet."""
-        return 0 if self.began_at is None else self._body_bytes
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Take the transport over."""
-        self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self.active_at = self.server.clock()
-        self.server.connections.add(self)
-        self.server.make_room()
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what arrived; after a fault nothing more is read."""
-        self.active_at = self.server.clock()
-        if self._fault is not None:
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as exc:
-            status = getattr(exc.__context__, "status", None)
-            if status is None:
-                logger.opt(exception=exc).error("request parser failed")
-            self._refuse(status or HTTPStatus.INTERNAL_SERVER_ERROR)
-            return
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(HTTPStatus.BAD_REQUEST)
-            return
-        if self.in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > 2 * self.server.limits().max_header_bytes:
-                self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    def eof_received(self) -> bool:
-        """Take the client's close for the end of its interest."""
-        self._leave()
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the work for a client that is gone."""
-        self._leave()
-        self.server.connections.discard(self)
-
-    def pause_writing(self) -> None:
-        """Hold writers back."""
-        self._can_write = asyncio.get_running_loop().create_future()
-
-    def resume_writing(self) -> None:
-        """Let writers go on."""
-        self._release_writer()
-
-    def on_message_begin(self) -> None:
-        """Begin to read a request."""
-        self.target = bytearray()
-        self.headers = []
-        self.chunks = []
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self.in_head = True
-        self.began_at = self.active_at
-
-    def on_url(self, url: bytes) -> None:
-        """Collect the target, which may come in parts."""
-        self.target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._count_head(len(name) + len(value) + 4)
-        self.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Take the head; the body follows."""
-        self.in_head = False
-        self.method = self._parser.get_method().decode()
-        self.http_version = self._parser.get_http_version()
-        self.keep_alive = self._parser.should_keep_alive()
-        expects = any(
-            name.lower() == b"expect" and value.lower() == b"100-continue"
-            for name, value in self.headers
-        )
-        if expects and self._current is None:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, data: bytes) -> None:
-        """Collect a part of the body."""
-        self._body_bytes += len(data)
-        self._hold(len(data))
-        if self._body_bytes > self.server.limits().max_body_bytes:
-            raise _BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        self.chunks.append(bytes(data))
-        if self.server.held_bytes > self.server.limits().max_held_bytes:
-            largest = self.server.largest_reader()
-            if largest is self:
-                raise _BadRequestError(HTTPStatus.SERVICE_UNAVAILABLE)
-            largest.give_way(HTTPStatus.SERVICE_UNAVAILABLE)
-
-    def on_message_complete(self) -> None:
-        """Hand the request over, or queue it behind the one being answered."""
-        self.began_at = None
-        exchange = Exchange(self, self.server.clock())
-        self.chunks = []
-        if self._current is None:
-            self._begin(exchange)
-            return
-        self._waiting.append(exchange)
-        if len(self._waiting) >= MAX_PIPELINED and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
-
-    def write(self, data: bytes) -> None:
-        """Write to the client unless it is gone."""
-        if not self.gone:
-            self._transport.write(data)
-
-    async def drained(self) -> None:
-        """Return once the client takes more."""
-        if self._can_write is not None:
-            await self._can_write
-
-    def answered(self, exchange: Exchange) -> None:
-        """Go on with the next request, or close."""
-        self.active_at = self.server.clock()
-        if exchange is not self._current:
-            return
-        self._current = None
-        if not self.gone:
-            self._hold(-len(exchange.body))
-        if not exchange.keep_alive:
-            self._close()
-        elif self._waiting:
-            self._begin(self._waiting.popleft())
-            if self._paused:
-                self._paused = False
-                self._transport.resume_reading()
-        elif self._fault is not None:
-            self._write_fault()
-
-    def abort(self) -> None:
-        """Reset the connection, so that nothing on it can look complete."""
-        if self._transport is None:
-            return
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None and not self._transport.is_closing():
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self._transport.abort()
-
-    def give_way(self, status: int) -> None:
-        """Make room for other clients: close if idle, else refuse what is read."""
-        if self.is_idle:
-            self._close()
-        else:
-            self._refuse(status)
-
-    def close_idle(self) -> None:
-        """Close a connection that does nothing."""
-        if self.is_idle and not self.gone:
-            self._close()
-
-    def expire(self, now: float, limits: Limits) -> None:
-        """Close a connection that is idle, or too slow with a request."""
-        if self._current is not None:
-            return
-        if self.began_at is None:
-            if now - self.active_at > limits.idle_timeout_s:
-                self._close()
-        elif self.in_head:
-            if now - self.began_at > limits.header_timeout_s:
-                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
-        elif now - self.active_at > limits.idle_timeout_s:
-            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
-
-    def _begin(self, exchange: Exchange) -> None:
-        self._current = exchange
-        if self.server.closed:
-            exchange.keep_alive = False
-            exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_ELSEWHERE)
-            return
-        self._task = asyncio.ensure_future(self.server.handle(exchange))
-        self._task.add_done_callback(self._handled)
-
-    def _handled(self, task: asyncio.Task) -> None:
-        log_failure(task)
-        exchange = self._current
-        if task is self._task and exchange is not None and not exchange.answered:
-            self.abort()
-
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self.server.limits().max_header_bytes:
-            raise _BadRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    def _refuse(self, status: int) -> None:
-        """Read nothing more; answer the fault after the requests before it."""
-        self._fault = status
-        self._hold(-self.reading_bytes)
-        self.chunks = []
-        self._body_bytes = 0
-        self.server.on_fault(status)
-        if self._current is None:
-            self._write_fault()
-
-    def _write_fault(self) -> None:
-        head = b"HTTP/1.1 %d %s\r\n" % (self._fault, REASONS[self._fault])
-        if self._fault == HTTPStatus.SERVICE_UNAVAILABLE:
-            head += b"%s: %s\r\n" % RETRY_ELSEWHERE[0]
-        self.write(head + b"Content-Length: 0\r\nConnection: close\r\n\r\n")
-        self._close()
-
-    def _close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-
-    def _hold(self, size: int) -> None:
-        self.held_bytes += size
-        self.server.held_bytes += size
-
-    def _leave(self) -> None:
-        self.gone = True
-        self._hold(-self.held_bytes)
-        self._waiting.clear()
-        self._release_writer()
-        current = self._current
-        if self._task is not None and current is not None and not current.answered:
-            self._task.cancel()
-
-    def _release_writer(self) -> None:
-        if self._can_write is not None and not self._can_write.done():
-            self._can_write.set_result(None)
-        self._can_write = None
-
-
 class Server:
     """Listen at one address and hand each request to ``handle``.
 
@@ -341,7 +39,7 @@
         self.limits = limits
         self.clock = clock
         self.on_fault = on_fault
-        self.connections: set[_Connection] = set()
+        self.connections: set[Connection] = set()
         self.held_bytes = 0
         self.draining = False
         self.closed = False
@@ -376,7 +74,7 @@
             "too many connections"
         )
 
-    def largest_reader(self) -> "_Connection":
+    def largest_reader(self) -> Connection:
         """Return the connection with the largest body that is still read."""
         largest = max(self.connections, key=lambda one: one.reading_bytes)
         logger.bind(held_bytes=self.held_bytes, largest=largest.reading_bytes).warning(
@@ -388,7 +86,7 @@
         """Begin to listen."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), ip, port, backlog=BACKLOG, reuse_address=True
+            lambda: Connection(self), ip, port, backlog=BACKLOG, reuse_address=True
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self._sweeper = asyncio.create_task(self._sweep())
