Close an idle connection where a call needs a fresh one and there is no room

If all of the pool were idle for longer, it got PoolFullError (503 to the caller) though nothing ran there. The test fails before (503 where 200 is due).

Ruled out: taking the older connection; the endpoint's close may be on its way, and then such a call can't be sent again.

--- a/knapweedhinge/http1/pool.py
+++ b/knapweedhinge/http1/pool.py
@@ -57,6 +57,8 @@
         channel = self._take_idle(now, self.cfg.fresh_s if once else self.cfg.idle_s)
         if channel is not None:
             return channel
+        if len(self) >= self.most and self._idle:
+            self._drop(self._idle.pop(0))
         if len(self) >= self.most:
             raise PoolFullError(
                 f"{self.ip}:{self.port}: {len(self)} connections in use",
@@ -125,6 +127,11 @@
             longest_s = min(longest_s, channel.keep_alive_s - KEEP_ALIVE_MARGIN_S)
         return now - channel.idle_since <= longest_s
 
+    def _drop(self, channel: Channel) -> None:
+        """Close an idle connection; its place is free at once."""
+        self._open.discard(channel)
+        channel.close()
+
     def _closed(self, channel: Channel) -> None:
         self._open.discard(channel)
         if channel in self._idle:
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from knapweedhinge.http1 import PoolSettings
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import HOST, KEY, World, catalog, chat, request, route
 
@@ -312,3 +313,17 @@
         logger.remove(sink)
     assert lines
     assert not [one for one in lines if KEY in one or "wrong-key" in one]
+
+
+async def test_a_call_that_runs_once_finds_a_connection_where_all_are_idle():
+    """Idle ones may be closing already; one of them makes room for a fresh one."""
+    replicas = shops(1)
+    async with World(replicas, catalog()) as world:
+        assert (await world.ask(request("/look/x"))).status == 200
+        endpoint = world.node.fleet.view.endpoints.by_id["shop-0"]
+        pool = world.node.ctx.pools.get(endpoint, 64, 1)
+        pool.most, pool.cfg = 1, PoolSettings(fresh_s=0.0)
+        world.node.ctx.pools.get = lambda *_: pool
+        reply = await world.ask(request("/pay/x"))
+        assert (reply.status, len(pool)) == (200, 1)
+    assert pool.opened == 2
