--- a/tests/routing/test_releaseverdict.py
+++ b/tests/routing/test_releaseverdict.py
@@ -254,8 +254,8 @@
     """A roll-out to a plain service, by the real decisions on one node.
 
     Calls come at random to three endpoints of each release. The new one fails
-    ``bad_share`` of those that meet at least two others at their endpoint: 1 in 25 once
-    all traffic has moved, as in plays on the users' bench.
+    ``bad_share`` of those that meet at least two others at their endpoint, about 1 in
+    25 of all calls after the move.
     """
 
     seed: int
