Give each test worker listening ports of its own and keep logs of starts

Cause, as traced then by reading and not proved by a log: free_port() gives a port without holding it until the process listens, and all four workers drew from the same 12,000 ports, so two could start on the same one.

Now each worker draws from a thousand ports of its own, reads them round and round, and a process that fails to start shows the end of its log, which stays in the test's temporary folder. If one of several starts fails, the others are killed.

Whether this was the cause of the failed setup is still only suspected: the next one will have its log.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import random
 import signal
 import socket
 import sys
+from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -20,18 +22,39 @@
 
 READY_TIMEOUT_S = 20.0  # from the start of a process to its ready line
 STOP_TIMEOUT_S = 20.0  # from SIGTERM to the exit
+LOG_LINES_SHOWN = 20  # of the log of a process that failed to start
 # Below the range that the system uses for outgoing connections.
 LISTEN_PORTS = range(20_000, 32_000)
-_untried_ports = iter(random.sample(LISTEN_PORTS, len(LISTEN_PORTS)))
+WORKER_PORTS = 1_000  # ports of each test worker, so that no two start on the same port
+
+
+def worker_ports(worker: str) -> range:
+    """Return the listening ports of a test worker.
+
+    ``worker`` is its name in pytest-xdist, such as "gw3", empty without workers.
+    """
+    number = int(worker.removeprefix("gw") or 0)
+    ports = LISTEN_PORTS[number * WORKER_PORTS : (number + 1) * WORKER_PORTS]
+    if not ports:
+        raise ValueError(f"no ports left for test worker {worker!r}")
+    return ports
+
+
+_own_ports = worker_ports(os.environ.get("PYTEST_XDIST_WORKER", ""))
+_untried_ports = itertools.cycle(random.sample(_own_ports, len(_own_ports)))
 
 
 @dataclass
 class Process:
-    """A running process; ``ready`` is the JSON object that it printed when ready."""
+    """A running process; ``ready`` is the JSON object that it printed when ready.
+
+    ``log`` is the file that its stderr goes to, None if it isn't kept.
+    """
 
     name: str
     child: asyncio.subprocess.Process
     ready: dict
+    log: Path | None = None
 
     def signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -53,39 +76,66 @@
         await self.child.wait()
 
 
-async def start_process(name: str, *args: str) -> Process:
+async def start_process(name: str, *args: str, log: Path | None = None) -> Process:
     """Start ``python -m ARGS`` and wait until it prints its ready line.
 
-    Raises RuntimeError if the process exits without printing it, and TimeoutError
-    after READY_TIMEOUT_S. The process's stderr, which has its log, is shown if the
-    environment variable SHOW_LOGS is set, and discarded otherwise.
+    Raises RuntimeError with the end of its log if the process exits without printing
+    it, and TimeoutError after READY_TIMEOUT_S. Its stderr is appended to ``log``, shown
+    if the environment variable SHOW_LOGS is set, and discarded without either.
     """
-    child = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        *args,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=None if os.environ.get("SHOW_LOGS") else asyncio.subprocess.DEVNULL,
-    )
-    line = await asyncio.wait_for(child.stdout.readline(), READY_TIMEOUT_S)
-    if not line:
-        raise RuntimeError(f"{name} ended with status {await child.wait()}")
-    return Process(name, child, json.loads(line))
+    with contextlib.ExitStack() as stack:
+        stderr = asyncio.subprocess.DEVNULL
+        if os.environ.get("SHOW_LOGS"):
+            stderr = None
+        elif log is not None:
+            stderr = stack.enter_context(log.open("ab"))
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", *args, stdout=asyncio.subprocess.PIPE, stderr=stderr
+        )
+    try:
+        line = await asyncio.wait_for(child.stdout.readline(), READY_TIMEOUT_S)
+        if line:
+            return Process(name, child, json.loads(line), log)
+        status = await child.wait()
+        raise RuntimeError(f"{name} ended with status {status}\n{_end_of(log)}")
+    except BaseException:
+        if child.returncode is None:
+            child.kill()
+            await child.wait()
+        raise
+
+
+def _end_of(log: Path | None) -> str:
+    """Return the last lines of a log file, empty if there is none."""
+    if log is None or not log.exists():
+        return ""
+    return "\n".join(log.read_text(errors="replace").splitlines()[-LOG_LINES_SHOWN:])
+
+
+async def start_all(starts: Iterable[Awaitable[Process]]) -> list[Process]:
+    """Start processes side by side; if one fails to start, kill the others."""
+    results = await asyncio.gather(*starts, return_exceptions=True)
+    failures = [result for result in results if isinstance(result, BaseException)]
+    if failures:
+        started = [result for result in results if isinstance(result, Process)]
+        await asyncio.gather(*(process.kill() for process in started))
+        raise failures[0]
+    return results
 
 
 def free_port() -> int:
-    """Return a free port from LISTEN_PORTS, another one at each call.
+    """Return a free port of this worker, another one at each call while there are any.
 
     A port that the system itself chooses could be taken by an outgoing connection
     before the process that is to listen has started.
     """
-    for port in _untried_ports:
+    for port in itertools.islice(_untried_ports, WORKER_PORTS):
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             with contextlib.suppress(OSError):
                 sock.bind((IP, port))
                 return port
-    raise RuntimeError(f"no free port left in {LISTEN_PORTS}")
+    raise RuntimeError(f"no free port left in {_own_ports}")
 
 
 async def eventually(condition, within_s: float = 10.0) -> None:
@@ -136,17 +186,21 @@
     async def _start(self) -> None:
         self.http = aiohttp.ClientSession()
         self.platform = await start_process(
-            "platform", "knapweedhinge.test.platform", "--ip", IP
+            "platform",
+            "knapweedhinge.test.platform",
+            "--ip",
+            IP,
+            log=self.tmp_path / "platform.log",
         )
         await seed_configuration(self.platform_url, self.configuration)
-        started = await asyncio.gather(
-            *(self._start_endpoint(spec) for spec in self.deployment.endpoints)
+        started = await start_all(
+            self._start_endpoint(spec) for spec in self.deployment.endpoints
         )
         self.endpoints = {process.name: process for process in started}
         vms = self.deployment.entry_vms[: self.node_count]
         self.ports = {vm.id: free_port() for vm in vms}
         await self.publish_vms()
-        started = await asyncio.gather(*(self.start_node(vm) for vm in vms))
+        started = await start_all(self.start_node(vm) for vm in vms)
         self.nodes = {process.name: process for process in started}
         await eventually(self.all_addresses_known)
 
@@ -182,7 +236,12 @@
             args = ("knapweedhinge.test.engine", "--name", spec.id, *versions)
         else:
             args = ("knapweedhinge.test.service", "--name", spec.id)
-        return await start_process(spec.id, *args, f"--port={port or free_port()}")
+        return await start_process(
+            spec.id,
+            *args,
+            f"--port={port or free_port()}",
+            log=self.tmp_path / f"{spec.id}.log",
+        )
 
     async def start_node(self, vm) -> Process:
         """Write the settings of the node on an entry VM and start it."""
@@ -202,7 +261,12 @@
         path = self.tmp_path / f"{vm.id}.json"
         path.write_text(json.dumps(settings))
         return await start_process(
-            vm.id, "knapweedhinge", "node", "--settings", str(path)
+            vm.id,
+            "knapweedhinge",
+            "node",
+            "--settings",
+            str(path),
+            log=self.tmp_path / f"{vm.id}.log",
         )
 
     async def publish_vms(self, leaving: frozenset[str] = frozenset()) -> None:
