--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -185,6 +185,7 @@
     route: str = ""
     organisation: str = ""
     service: str = ""
+    session: str = ""
 
 
 @dataclass(frozen=True)
--- a/knapweedhinge/platform/callers.py
+++ b/knapweedhinge/platform/callers.py
@@ -29,7 +29,7 @@
 DEFAULT_RETRY_AFTER_S = 0.4
 # Statuses that tell the caller that its call has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-MAX_ID_CHARS = 200  # of a caller's request id in a log line
+MAX_ID_CHARS = 200  # of a caller's request id or session in a log line
 
 
 class CallHandler:
@@ -48,6 +48,7 @@
         code, outcome = ResultCode.OK, ""
         try:
             call = call_of(exchange)
+            trace.session = call.session
             answer = await self._chain(call, exchange.received_at, trace)
             if isinstance(answer, RelayAnswer):
                 exchange.respond(answer.status, answer.headers, answer.body)
@@ -114,6 +115,7 @@
         request_id = exchange.get(REQUEST_ID) or b""
         logger.bind(
             request_id=request_id.decode("latin-1")[:MAX_ID_CHARS],
+            session=trace.session[:MAX_ID_CHARS],
             route=trace.route,
             organisation=trace.organisation,
             code=code.number,
