Add failing tests for sessions that a trial moves between releases

The test that a session of the trial stays there at every node passes today and has to go on passing.

--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -1,16 +1,21 @@
 """Tests of rollouts at a node, from the order to the state that operators read."""
 
 import asyncio
-from itertools import count
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from itertools import count, islice
 
 import msgspec
 import pytest
 
+from knapweedhinge.conf import ListenSettings
 from knapweedhinge.conf.relay import Promises
 from knapweedhinge.controllers.release_tracker import ReleaseReport
+from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.routing.releases import Release, in_trial, trial_share
 from knapweedhinge.test.replica import Replica
-from tests.platform.world import World, catalog, request
+from tests.platform.world import World, catalog, exchange, request
+from tests.processes import free_port
 
 PERIOD_S = 4.0
 CALLERS = 6  # concurrent callers, each sending one call after the other
@@ -109,3 +114,80 @@
     assert sum(len(replica.calls) for replica in new) > len(chosen)
     tallies = [row.tally for row in report.tallies if row.version == "v2"]
     assert sum(tally.bad for tally in tallies) == len(chosen)
+
+
+def trial_sessions(prefix: str, number: int) -> list[str]:
+    """Return sessions that the hash assigns to the trial of the new release."""
+    release, share = Release("shop", "v2", PERIOD_S), trial_share(EXPOSURE)
+    names = (f"{prefix}{n}" for n in count())
+    return list(
+        islice((name for name in names if in_trial(name, release, share)), number)
+    )
+
+
+@asynccontextmanager
+async def two_nodes(replicas):
+    """Run two nodes that know each other; yield the world and the second node."""
+    first_listen, second_listen = (
+        ListenSettings(vm, "127.0.0.1", 0, domain, "here", free_port())
+        for vm, domain in (("vm-1", "a"), ("vm-2", "b"))
+    )
+    async with World(
+        replicas, catalog(), promises=PROMISES, listen=first_listen
+    ) as world:
+        second = RelayNode(replace(world.settings(), listen=second_listen))
+        try:
+            await second.start()
+            nodes = (world.node, second)
+            await world.until(lambda: all(len(n.peers.members) == 2 for n in nodes))
+            yield world, second
+        finally:
+            await second.close()
+
+
+async def ask(node: RelayNode, session: str, request_id: str) -> str:
+    """Send a call of a session to a node; return the endpoint that answered."""
+    data = request("/look/x", request_id=request_id, Session=session)
+    reply = await exchange(node.caller_server.port, data)
+    assert reply.status == 200
+    return reply.body.split()[0].decode()
+
+
+async def begin_trial(world: World, *nodes: RelayNode) -> None:
+    """Order the rollout and wait until a new session goes to the new release."""
+    order(world)
+    for node in nodes:
+        await world.until(lambda node=node: node.fleet.view.stages.get("shop"))
+    fresh = iter(trial_sessions("opening", 100))
+    async with asyncio.timeout(PERIOD_S / 2):
+        for session in fresh:
+            if (await ask(nodes[0], session, session)).startswith("new"):
+                return
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("other_node", [False, True])
+async def test_a_session_that_ran_on_the_old_release_does_not_join_the_trial(
+    other_node,
+):
+    old, new = shops()
+    async with two_nodes([*old, *new]) as (world, second):
+        sessions = trial_sessions("s", 6)
+        for session in sessions:
+            assert (await ask(world.node, session, session)).startswith("old")
+        await begin_trial(world, world.node, second)
+        node = second if other_node else world.node
+        answered_by = [await ask(node, name, f"{name}-again") for name in sessions]
+    assert all(endpoint.startswith("old") for endpoint in answered_by)
+
+
+async def test_a_session_of_the_trial_stays_on_the_new_release_at_every_node():
+    old, new = shops()
+    async with two_nodes([*old, *new]) as (world, second):
+        await begin_trial(world, world.node, second)
+        for session in trial_sessions("s", 6):
+            answered_by = [
+                await ask(node, session, f"{session}-{turn}")
+                for turn, node in enumerate((world.node, second, world.node))
+            ]
+            assert all(endpoint.startswith("new") for endpoint in answered_by)
