Keep sessions on their release when a trial begins

Cause: every node assigned a session to the trial by a hash of its name alone. Sessions that had run on the old release, a tenth of the calls there, were assigned anew with their next call.

Now the owner of a service's roll-out decides. Nodes send it their recently active sessions when a trial begins, and ask it for the sessions of the trial that they don't know; one that ran on the old release stays there. Where the owner can't be asked, the session stays on the old release. It works because the one fact that counts, where the session ran before, is collected before the first session joins, and because one node gives all answers.

--- a/bench/relay/simulation.py
+++ b/bench/relay/simulation.py
@@ -206,7 +206,7 @@
     node, names = call.node, tuple(name for name, _ in call.parts)
     tokens = tuple(count for _, count in call.parts)
     blocks = part_blocks(call.size, names)
-    request = PlacementRequest("engine", names[-1], blocks, tokens)
+    request = PlacementRequest("engine", blocks=blocks, part_tokens=tokens)
     placement = place(request, node.placement_view(engines), now, node.rng)
     assert isinstance(placement, Placement)
     engine = engines[placement.chosen.endpoint.id]
--- a/knapweedhinge/conf/relay.py
+++ b/knapweedhinge/conf/relay.py
@@ -46,6 +46,12 @@
         minimum=0.0,
         maximum=1.0,
     )
+    session_idle_s: float = setting(
+        "Time after which the next call of a session may be served by another release.",
+        default=10.0,
+        minimum=0.0,
+        unit="s",
+    )
     address_ttl_s: float = setting(
         "Longest time that callers cache the list of node addresses.",
         default=5.0,
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -63,6 +63,12 @@
         self._observation = AttemptObservation(execution, endpoint, self._started_at)
         self._ctx.loads.began(endpoint.id, self._work_s)
         self._ctx.releases.began(execution.req.service, self._version)
+        self._ctx.sessions.began(
+            execution.req.service,
+            execution.req.call.session,
+            self._version,
+            self._started_at,
+        )
         self._ctx.quarantine.started(endpoint, execution.req.fingerprint)
 
     async def send(self) -> None:
@@ -300,6 +306,7 @@
         req = self._execution.req
         self._ctx.loads.ended(self.endpoint.id, self._work_s)
         self._ctx.releases.ended(req.service, self._version)
+        self._ctx.sessions.ended(req.service, req.call.session, now)
         self._ctx.quarantine.ended(self.endpoint, req.fingerprint)
         if self._channel is not None:
             self._pool.release(self._channel, now)
--- a/knapweedhinge/filters/relay/placing.py
+++ b/knapweedhinge/filters/relay/placing.py
@@ -12,7 +12,6 @@
     place,
 )
 from knapweedhinge.routing.prefix import part_blocks
-from knapweedhinge.routing.releases import trial_share
 
 if TYPE_CHECKING:
     from knapweedhinge.filters.relay.run import CallExecution
@@ -54,7 +53,7 @@
         now = ctx.clock()
         placement_request = PlacementRequest(
             service=req.service,
-            session=req.call.session or req.call.request_id,
+            in_trial=execution.in_trial,
             blocks=blocks,
             part_tokens=tuple(part.tokens for part in req.call.parts),
             tried=execution.tried,
@@ -87,7 +86,6 @@
         lapsed_ids=ctx.fleet.lapsed_ids(),
         full=ctx.pools.full_ids(),
         release=view.release(req.service),
-        trial_share=trial_share(ctx.settings.promises.exposure),
         typical_first_piece_s=ctx.health.typical_first_piece_s(
             kind, DEFAULT_FIRST_PIECE_S
         ),
@@ -101,10 +99,7 @@
     prompt and to earlier attempts, 0 if there is none.
     """
     ctx, now = execution.ctx, execution.ctx.clock()
-    placement_request = PlacementRequest(
-        execution.req.service,
-        execution.req.call.session or execution.req.call.request_id,
-    )
+    placement_request = PlacementRequest(execution.req.service, execution.in_trial)
     result = place(placement_request, placement_view(execution, now), now, ctx.rng)
     return result.chosen.queueing_delay_s if isinstance(result, Placement) else 0.0
 
--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -64,11 +64,13 @@
 
         Raise EndpointError or RefusedError when no attempt gave an answer.
         """
-        service = pick_service(req.route, req.call.session or req.call.request_id)
+        call = req.call
+        service = pick_service(req.route, call.session or call.request_id)
         trace.service = service
         req = replace(req, service=service)
         self._ctx.budget.record_first_send(service, self._ctx.clock())
-        return await CallExecution(self._ctx, req, trace).answer()
+        in_trial = await self._ctx.trials.joins(service, call.session, call.request_id)
+        return await CallExecution(self._ctx, req, trace, in_trial).answer()
 
 
 def pick_service(route: CallRoute, affinity_key: str) -> str:
@@ -91,16 +93,21 @@
 class CallExecution:
     """The state of one call over all its attempts.
 
-    ``chosen_model`` is the model asked now, empty unless the node chooses the model.
-    ``attempts`` holds the failed attempts and ``tried`` the ids of their endpoints;
-    ``runs`` counts the attempts that may have run. ``last_event_number`` and
-    ``sent_bytes`` say how much of a stream the caller has already received.
+    ``in_trial`` says whether the call goes to a release on trial, decided once so that
+    all attempts agree. ``chosen_model`` is the model asked now, empty unless the node
+    chooses the model. ``attempts`` holds the failed attempts and ``tried`` the ids of
+    their endpoints; ``runs`` counts the attempts that may have run.
+    ``last_event_number`` and ``sent_bytes`` say how much of a stream the caller has
+    already received.
     """
 
-    def __init__(self, ctx: RelayContext, req: RelayRequest, trace: CallTrace):
+    def __init__(
+        self, ctx: RelayContext, req: RelayRequest, trace: CallTrace, in_trial: bool
+    ):
         self.ctx = ctx
         self.req = req
         self.trace = trace
+        self.in_trial = in_trial
         self.chosen_model = first_size(req.route.sizes) if req.call.any_model else ""
         self.attempts: tuple[Attempt, ...] = ()
         self.tried: frozenset[str] = frozenset()
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -14,6 +14,7 @@
 from knapweedhinge.controllers.loadtracker import LoadTracker
 from knapweedhinge.controllers.quarantinetracker import QuarantineTracker
 from knapweedhinge.controllers.release_tracker import ReleaseTracker
+from knapweedhinge.controllers.session_tracker import SessionTracker
 from knapweedhinge.controllers.speedtracker import PrefillSpeedTracker
 from knapweedhinge.core.metrics import Metrics
 from knapweedhinge.endpoints.pools import EndpointPools
@@ -188,6 +189,17 @@
     session: str = ""
 
 
+class TrialMembership(Protocol):
+    """Decide which calls go to a release on trial."""
+
+    async def joins(self, service: str, session: str, request_id: str) -> bool:
+        """Return whether a call goes to the release on trial of its service.
+
+        ``session`` is empty for a call without one. All nodes decide the same for a
+        session. False if there is no trial.
+        """
+
+
 @dataclass(frozen=True)
 class RelayContext:
     """The settings and shared state that all stages use.
@@ -209,6 +221,8 @@
     prefixes: PrefixIndex
     budget: WindowBudget
     releases: ReleaseTracker
+    sessions: SessionTracker
+    trials: TrialMembership
     quarantine: QuarantineTracker
     metrics: Metrics
     suspect_crash: Callable[[EndpointView], None] = lambda endpoint: None
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -15,12 +15,19 @@
 
 from knapweedhinge.conf.relay import RelaySettings, split_address
 from knapweedhinge.controllers.addresses import Address
-from knapweedhinge.controllers.fleet import CatalogSeen, EndpointGone, FleetTracker
+from knapweedhinge.controllers.fleet import (
+    CatalogSeen,
+    EndpointGone,
+    FleetTracker,
+    ReleaseOrdered,
+    ReleaseStaged,
+)
 from knapweedhinge.controllers.healthtracker import HealthTracker
 from knapweedhinge.controllers.loadtracker import LoadTracker
 from knapweedhinge.controllers.quarantinetracker import QuarantineTracker
 from knapweedhinge.controllers.release_controller import ReleaseController
 from knapweedhinge.controllers.release_tracker import ReleaseTracker
+from knapweedhinge.controllers.session_tracker import SessionTracker
 from knapweedhinge.controllers.speedtracker import PrefillSpeedTracker
 from knapweedhinge.core import logs
 from knapweedhinge.core.detached import log_failure
@@ -32,6 +39,7 @@
 from knapweedhinge.filters.relay import RelayContext
 from knapweedhinge.http1 import Exchange, Limits, Server
 from knapweedhinge.node.relaypeers import REPORT_INTERVAL_S, RelayPeers
+from knapweedhinge.node.trial_coordinator import TrialCoordinator
 from knapweedhinge.platform import wire
 from knapweedhinge.platform.callers import (
     CallHandler,
@@ -63,6 +71,9 @@
 # Share of the memory for bodies of unanswered calls. The program itself and the output
 # buffers of slow clients need the rest.
 BODY_MEMORY_SHARE = 0.2
+# Added to the time for which a session counts as active, since a caller may measure it
+# from a later moment than the node does.
+SESSION_MARGIN_S = 0.5
 CRASH_PROBE_S = 1.0  # least interval between two probes of an endpoint; probe timeout
 
 
@@ -108,6 +119,10 @@
             lambda service: self.peers.owns_release(service),
         )
         promises = settings.promises
+        self.sessions = SessionTracker(promises.session_idle_s + SESSION_MARGIN_S)
+        self.trials = TrialCoordinator(
+            self.fleet, self.sessions, clock, promises.exposure
+        )
         bound = BudgetBound(
             promises.retry_ratio, promises.retry_allowance, promises.retry_window_s
         )
@@ -124,13 +139,15 @@
             prefixes=PrefixIndex(),
             budget=WindowBudget(bound),
             releases=self.releases,
+            sessions=self.sessions,
+            trials=self.trials,
             # The argument converts times of the clock into wall-clock time.
             quarantine=QuarantineTracker(time.time() - clock()),
             metrics=self.metrics,
             suspect_crash=self._suspect_crash,
         )
         self.peers = RelayPeers(
-            self.ctx, self.store, self.feeds, self.release_controller
+            self.ctx, self.store, self.feeds, self.release_controller, self.trials
         )
         self.fleet.changes.subscribe(self._handle_fleet_change)
         self.caller_server = self._build_server(CallHandler(self.ctx))
@@ -278,6 +295,7 @@
         self.ctx.pools.sweep(now)
         self.ctx.pools.keep_only(self.fleet.view.endpoints.by_id)
         self.ctx.loads.expire(now)
+        self.sessions.expire(now)
 
     def _apply_event(self, event) -> None:
         self.fleet.apply(event, self.clock())
@@ -285,6 +303,8 @@
     def _handle_fleet_change(self, event) -> None:
         if isinstance(event, EndpointGone):
             self.ctx.health.forget(event.endpoint_id)
+        if isinstance(event, ReleaseOrdered | ReleaseStaged):
+            self._spawn(self.trials.report())
         log = logger.bind(revision=self._revision(), store=self.store.available)
         if isinstance(event, CatalogSeen):
             log.info("catalog in force")
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -17,6 +17,7 @@
 from knapweedhinge.controllers.release_controller import ReleaseController
 from knapweedhinge.core.exceptions import PeerError, PlatformError
 from knapweedhinge.filters.relay import RelayContext
+from knapweedhinge.node.trial_coordinator import TrialCoordinator
 from knapweedhinge.peers import Entry, Member, MembershipView, Peers
 from knapweedhinge.peers.topics import (
     QUARANTINE,
@@ -39,7 +40,6 @@
 READERS_PER_REGION = 3  # one node that reads the store and two on standby
 # Roles in the assignment of tasks to nodes.
 READER_ROLE = "store-reader"
-RELEASE_ROLE = "releases"
 AGGREGATOR_ROLE = "work-board"
 REPORT_METHOD = "work"  # peer method that sends a load report to the aggregator
 T = TypeVar("T")
@@ -57,12 +57,14 @@
         store: Store,
         feeds: Feeds,
         release_controller: ReleaseController,
+        trials: TrialCoordinator,
     ):
         self.members: tuple[Member, ...] = ()
         self._ctx = ctx
         self._store = store
         self._feeds = feeds
         self._release_controller = release_controller
+        self._trials = trials
         self._peers: Peers | None = None
         self._gossip: RowGossip | None = None
         self._aggregator = LoadAggregator()
@@ -93,6 +95,7 @@
         await peers.start()
         self._peers = peers
         self._gossip = RowGossip(self._feeds, peers)
+        self._trials.attach(peers)
         self._ctx.quarantine.updates_for_peers.subscribe(self._publish_quarantine)
         self._receive_members(peers.membership)
         logger.bind(members=len(self.members)).info("joined peers")
@@ -127,8 +130,8 @@
         """Return whether this node advances the roll-out stages of a service."""
         if self._peers is None:
             return True
-        owners = self._peers.assignments.owners(RELEASE_ROLE, service, 1)
-        return any(owner.vm == self._vm for owner in owners)
+        owner = self._trials.owner(service)
+        return owner is not None and owner.vm == self._vm
 
     async def report(self) -> None:
         """Publish this node's reader status, its load and its release statistics.
@@ -144,6 +147,7 @@
                 STORE_READER_STATUS, self._vm, msgspec.msgpack.encode(reader_status)
             )
         await self._report_load(now)
+        await self._trials.report()
         services = frozenset(
             release.service for release in self._release_controller.running()
         )
--- a/knapweedhinge/routing/placement.py
+++ b/knapweedhinge/routing/placement.py
@@ -53,12 +53,12 @@
 
     ``blocks`` are chained hashes of the prompt's parts and ``part_tokens`` the size of
     each part; the last part belongs to this call only, earlier ones may be shared.
-    ``session`` is hashed to assign the call to a release on trial. ``tried`` holds the
-    endpoints of earlier attempts.
+    ``in_trial`` says whether the call's session takes part in a release's trial.
+    ``tried`` holds the endpoints of earlier attempts.
     """
 
     service: str
-    session: str
+    in_trial: bool = False
     blocks: tuple[int, ...] = ()
     part_tokens: tuple[int, ...] = ()
     tried: frozenset[str] = frozenset()
@@ -78,9 +78,8 @@
       left;
     * ``full``: endpoints whose connections are all in use, which passes soon.
 
-    ``trial_share`` is the share of sessions that a release on trial receives, and
-    ``typical_first_piece_s`` the typical time to the first piece of the answer to such
-    a call, in seconds.
+    ``typical_first_piece_s`` is the typical time to the first piece of the answer to
+    such a call, in seconds.
     """
 
     endpoints: EndpointIndex
@@ -94,7 +93,6 @@
     lapsed_ids: frozenset[str] = frozenset()
     full: frozenset[str] = frozenset()
     release: Release | None = None
-    trial_share: float = 0.0
     typical_first_piece_s: float = 0.1
 
 
@@ -135,7 +133,7 @@
 ) -> Placement | NoPlacement:
     """Return the endpoint with the least expected delay, or why no endpoint is chosen.
 
-    Endpoints of the release that the session is assigned to come first. The call
+    Endpoints of the release that the call is assigned to come first. The call
     changes to another release only if all of these were tried, are not in use, or have
     lapsed registrations while others have not; that they are full, paused or limited by
     a cold start is no reason to, since it would send a release on trial more than its
@@ -198,11 +196,11 @@
 def _of_release(
     endpoints: list[EndpointView], req: PlacementRequest, view: PlacementView
 ) -> list[EndpointView]:
-    """Return the endpoints of the release that the call's session is assigned to."""
+    """Return the endpoints of the release that the call is assigned to."""
     release = view.release
     if release is None:
         return endpoints
-    new = goes_to_new_version(release, req.session, view.trial_share)
+    new = goes_to_new_version(release, req.in_trial)
     return [
         endpoint
         for endpoint in endpoints
--- a/knapweedhinge/routing/releases.py
+++ b/knapweedhinge/routing/releases.py
@@ -2,8 +2,8 @@
 
 The trial must catch a release that fails some of its calls or is several times slower,
 possibly only after some seconds, under load or on a single route, while the remaining
-traffic is unaffected. It gives the release a fixed share of sessions, the same on all
-nodes, so that a session stays on its release. All traffic moves only after a good trial
+traffic is unaffected. It gives the release a fixed share of the sessions that begin
+during the trial, see ``trialsessions``. All traffic moves only after a good trial
 of about half of the roll-out period, which reveals releases that turn bad late. A
 release that fails only under full load shows this after the move; until it has been
 watched there for a while, the old release is kept running so that a rollback is
@@ -68,19 +68,22 @@
 
 
 def in_trial(session: str, release: Release, share: float) -> bool:
-    """Return whether a session belongs to the trial; every node returns the same."""
+    """Return whether the hash of a session assigns it to the trial.
+
+    Every node returns the same.
+    """
     name = f"{release.service}\0{release.version}\0{session}"
     return xxhash.xxh3_64_intdigest(name.encode()) < share * 2**64
 
 
-def goes_to_new_version(release: Release, session: str, share: float) -> bool:
-    """Return whether a call of this session goes to the new release.
+def goes_to_new_version(release: Release, in_trial: bool) -> bool:
+    """Return whether a call goes to the new release.
 
-    ``share`` is the share of sessions in the trial.
+    ``in_trial`` says whether the call's session takes part in the trial.
     """
     match release.stage:
         case Stage.TRIAL:
-            return in_trial(session, release, share)
+            return in_trial
         case Stage.MOVING | Stage.COMPLETE:
             return True
     return False
--- /dev/null
+++ b/knapweedhinge/routing/trialsessions.py
@@ -0,0 +1,56 @@
+"""Decide which sessions take part in the trial of a release.
+
+A session that ran on the old release a short time ago stays there, so that its caller
+doesn't see answers of two releases in one conversation. The hash of a session alone
+can't tell, and the call before may have been at any node, so one node decides for all.
+It first collects the recently active sessions of every node. Only sessions that the
+hash assigns to the trial are asked for, a few percent of all calls.
+"""
+
+from collections.abc import Iterable
+
+# Seconds after which the trial begins even if some nodes have not reported. They may be
+# cut off; a few sessions moved by the trial do less harm than a roll-out that waits.
+COLLECT_S = 1.5
+
+
+class TrialSessions:
+    """The sessions of one trial, on the node that decides.
+
+    Sessions are identified by their hash. ``began_at`` and ``now`` are in seconds on
+    the node's monotonic clock.
+    """
+
+    def __init__(self, began_at: float):
+        self.began_at = began_at
+        self._reported: set[str] = set()
+        self._open = False
+        self._on_old: set[int] = set()
+        self._on_new: set[int] = set()
+
+    def report(self, vm: str, on_old: Iterable[int], on_new: Iterable[int]) -> None:
+        """Record the sessions that recently ran at a node, by release.
+
+        The first release recorded for a session is kept.
+        """
+        self._reported.add(vm)
+        self._on_new.update(set(on_new) - self._on_old)
+        self._on_old.update(set(on_old) - self._on_new)
+
+    def joins(self, session: int, members: Iterable[str], now: float) -> bool:
+        """Return whether a session takes part; later calls return the same.
+
+        ``members`` are the VMs of the active nodes. A session asked for before all of
+        them have reported stays on the old release.
+        """
+        if session in self._on_new:
+            return True
+        if session in self._on_old:
+            return False
+        self._open = (
+            self._open
+            or now - self.began_at >= COLLECT_S
+            or self._reported.issuperset(members)
+        )
+        (self._on_new if self._open else self._on_old).add(session)
+        return self._open
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -1,7 +1,7 @@
 """Tests of rollouts at a node, from the order to the state that operators read."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 from itertools import count, islice
 
@@ -153,41 +153,69 @@
     return reply.body.split()[0].decode()
 
 
-async def begin_trial(world: World, *nodes: RelayNode) -> None:
-    """Order the rollout and wait until a new session goes to the new release."""
-    order(world)
-    for node in nodes:
-        await world.until(lambda node=node: node.fleet.view.stages.get("shop"))
-    fresh = iter(trial_sessions("opening", 100))
-    async with asyncio.timeout(PERIOD_S / 2):
-        for session in fresh:
-            if (await ask(nodes[0], session, session)).startswith("new"):
-                return
-            await asyncio.sleep(0.05)
+@asynccontextmanager
+async def running_trial(world: World, *nodes: RelayNode):
+    """Start the new endpoints, order the rollout and wait until the trial has begun."""
+    _, new = shops()
+    async with AsyncExitStack() as stack:
+        for replica in new:
+            await replica.start()
+            stack.push_async_callback(replica.stop)
+            world.store.put("servers", replica.id, replica.record())
+        order(world)
+        for node in nodes:
+            await world.until(lambda node=node: node.fleet.view.stages.get("shop"))
+        opening = iter(trial_sessions("opening", 100))
+        async with asyncio.timeout(PERIOD_S / 2):
+            while (name := next(opening)) and not (
+                await ask(nodes[0], name, name)
+            ).startswith("new"):
+                await asyncio.sleep(0.05)
+        yield
 
 
 @pytest.mark.parametrize("other_node", [False, True])
 async def test_a_session_that_ran_on_the_old_release_does_not_join_the_trial(
     other_node,
 ):
-    old, new = shops()
-    async with two_nodes([*old, *new]) as (world, second):
+    old, _ = shops()
+    async with two_nodes(old) as (world, second):
         sessions = trial_sessions("s", 6)
         for session in sessions:
             assert (await ask(world.node, session, session)).startswith("old")
-        await begin_trial(world, world.node, second)
-        node = second if other_node else world.node
-        answered_by = [await ask(node, name, f"{name}-again") for name in sessions]
-    assert all(endpoint.startswith("old") for endpoint in answered_by)
+        async with running_trial(world, world.node, second):
+            node = second if other_node else world.node
+            answered_by = [await ask(node, name, f"{name}-2") for name in sessions]
+    assert all(endpoint.startswith("old") for endpoint in answered_by), answered_by
 
 
 async def test_a_session_of_the_trial_stays_on_the_new_release_at_every_node():
-    old, new = shops()
-    async with two_nodes([*old, *new]) as (world, second):
-        await begin_trial(world, world.node, second)
+    old, _ = shops()
+    async with (
+        two_nodes(old) as (world, second),
+        running_trial(world, world.node, second),
+    ):
         for session in trial_sessions("s", 6):
             answered_by = [
                 await ask(node, session, f"{session}-{turn}")
                 for turn, node in enumerate((world.node, second, world.node))
             ]
             assert all(endpoint.startswith("new") for endpoint in answered_by)
+
+
+async def test_a_trial_goes_on_at_the_next_owner_with_the_same_sessions():
+    old, _ = shops()
+    async with two_nodes(old) as (world, second):
+        owner = world.node.trials.owner("shop").vm
+        leaving, staying = (
+            (world.node, second) if owner == "vm-1" else (second, world.node)
+        )
+        async with running_trial(world, world.node, second):
+            joined = trial_sessions("s", 3)
+            for session in joined:
+                assert (await ask(staying, session, session)).startswith("new")
+            await leaving.peers.leave()
+            await world.until(lambda: len(staying.peers.members) == 1)
+            for session in joined:
+                endpoint = await ask(staying, session, f"{session}-2")
+                assert endpoint.startswith("new")
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -14,7 +14,7 @@
     place,
 )
 from knapweedhinge.routing.prefix import PrefixIndex
-from knapweedhinge.routing.releases import Release
+from knapweedhinge.routing.releases import Release, in_trial
 
 NOW = 100.0
 
@@ -29,7 +29,7 @@
     """Return where a call goes, given an endpoint near by and one in another domain."""
     index = EndpointIndex([endpoint("near"), endpoint("far", "b")])
     state = PlacementView(index, lambda _: 0.0, PrefixIndex(), "a", "r", **view)
-    found = place(PlacementRequest("shop", "s", tried=tried), state, NOW, Random(1))
+    found = place(PlacementRequest("shop", tried=tried), state, NOW, Random(1))
     return found if isinstance(found, NoPlacement) else found.chosen.endpoint.id
 
 
@@ -74,6 +74,7 @@
 
     Calls assigned to the stable release wait for a connection instead of changing over.
     """
+    release = Release("shop", "2", period_s=10.0)
     index = EndpointIndex([endpoint("old"), endpoint("new", version="2")])
     view = PlacementView(
         index,
@@ -82,11 +83,15 @@
         "a",
         "r",
         full=frozenset(["old"]),
-        release=Release("shop", "2", period_s=10.0),
-        trial_share=0.1,
+        release=release,
     )
     found = [
-        place(PlacementRequest("shop", f"s{n}"), view, NOW, Random(n))
+        place(
+            PlacementRequest("shop", in_trial(f"s{n}", release, share=0.1)),
+            view,
+            NOW,
+            Random(n),
+        )
         for n in range(1000)
     ]
     new = sum(not isinstance(result, NoPlacement) for result in found)
--- a/tests/routing/test_releases.py
+++ b/tests/routing/test_releases.py
@@ -46,7 +46,8 @@
 @pytest.mark.parametrize("stage,old,new,goes_to_new", USE_CASES)
 def test_which_versions_may_be_used(stage, old, new, goes_to_new):
     assert (may_use(release(stage), "v1"), may_use(release(stage), "v2")) == (old, new)
-    assert goes_to_new_version(release(stage), "x", share=0.0) is goes_to_new
+    assert goes_to_new_version(release(stage), in_trial=False) is goes_to_new
+    assert goes_to_new_version(release(stage), in_trial=True) is new
 
 
 STAGE_CASES = [
--- a/tests/routing/test_releaseverdict.py
+++ b/tests/routing/test_releaseverdict.py
@@ -9,6 +9,7 @@
     Release,
     Stage,
     goes_to_new_version,
+    in_trial,
     next_stage,
     trial_share,
 )
@@ -338,7 +339,9 @@
             now += rng.expovariate(self.per_s)
             name = (
                 "new"
-                if goes_to_new_version(release, f"s{rng.random()}", share)
+                if goes_to_new_version(
+                    release, in_trial(f"s{rng.random()}", release, share)
+                )
                 else "old"
             )
             endpoint_ends = rng.choice(ends[name])
--- /dev/null
+++ b/tests/routing/test_trialsessions.py
@@ -0,0 +1,43 @@
+"""Which sessions take part in a trial, on the node that decides."""
+
+import pytest
+
+from knapweedhinge.routing.trialsessions import COLLECT_S, TrialSessions
+
+BEGAN = 50.0
+NODES = ("a", "b")
+
+# reports of nodes as (vm, sessions on the old and on the new release),
+# seconds since the trial began, whether session 1 joins
+JOIN_CASES = [
+    ([], 0.1, False),
+    ([("a", [], [])], 0.1, False),
+    ([("a", [], []), ("b", [], [])], 0.1, True),
+    ([("a", [1], []), ("b", [], [])], 0.1, False),
+    ([("a", [], []), ("b", [1], [])], 0.1, False),
+    ([("a", [], []), ("b", [2], [])], 0.1, True),
+    ([("a", [], [1])], 0.1, True),
+    ([("a", [], [1]), ("b", [1], [])], 0.1, True),
+    ([], COLLECT_S, True),
+    ([("a", [1], [])], COLLECT_S, False),
+]
+
+
+@pytest.mark.parametrize("reports,after_s,joins", JOIN_CASES)
+def test_a_session_joins_only_if_it_recently_ran_on_no_other_release(
+    reports, after_s, joins
+):
+    trial = TrialSessions(BEGAN)
+    for vm, on_old, on_new in reports:
+        trial.report(vm, on_old, on_new)
+    assert trial.joins(1, NODES, BEGAN + after_s) is joins
+    trial.report("a", [], [])
+    trial.report("b", [1], [1])
+    assert trial.joins(1, NODES, BEGAN + after_s + 5.0) is joins
+
+
+def test_an_open_trial_is_not_closed_by_a_node_that_joins_later():
+    trial = TrialSessions(BEGAN)
+    trial.report("a", [], [])
+    assert trial.joins(1, ["a"], BEGAN)
+    assert trial.joins(2, ["a", "b"], BEGAN)
