End answers that never end, with bounded memory and time

Calls to it waited until their deadline, though another endpoint could have answered, and the node's memory grew with what came.

An endless reason phrase, chunk extension or answer to another call was read without any bound. - each whole answer could hold 16 MB, all of them together any amount. - after the end of an answer, further bytes were read and dropped as long as the caller of a stream was slow. - an event without end was searched from its beginning with each packet.

Now a connection fails once 128 KB arrive without a byte of the body among them, or 1 MB of answers to other calls; large whole answers share a tenth of the process's memory; bytes after an answer close the connection. The failure is an answer that broke off: a call that may be repeated is sent to another endpoint, any other gets 502 (4003), whose outcome is unknown; only calls that no endpoint has received get 503. Bytes that do belong to a body, but come slowly, end at the call's deadline as before.

--- a/knapweedhinge/backing/channel.py
+++ b/knapweedhinge/backing/channel.py
@@ -16,6 +16,7 @@
 from knapweedhinge.backing.breaker import Breaker, BreakerState
 from knapweedhinge.backing.budget import TokenBucket
 from knapweedhinge.conf.node import PlatformSettings
+from knapweedhinge.core.bodies import read_body
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.core.exceptions import PlatformError, PlatformUnavailableError
 
@@ -214,7 +215,7 @@
                 timeout=self._timeout,
                 allow_redirects=False,
             ) as resp:
-                body = await resp.read()
+                body = await read_body(resp)
         except aiohttp.ClientConnectorError as exc:
             raise PlatformUnavailableError(f"{self._service}: {exc}") from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
--- a/knapweedhinge/endpoints/engine.py
+++ b/knapweedhinge/endpoints/engine.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from knapweedhinge.conf import EndpointSettings
+from knapweedhinge.core.bodies import read_body
 from knapweedhinge.core.codes import ResultCode, RunState
 from knapweedhinge.core.exceptions import EndpointError
 from knapweedhinge.endpoints.types import (
@@ -85,7 +86,7 @@
         try:
             async with self._post(endpoint, call, timeout) as resp:
                 await raise_for_failure(resp)
-                body = await resp.read()
+                body = await read_body(resp)
         except CONNECT_ERRORS as exc:
             raise unreachable_error(endpoint) from exc
         except CONNECTION_LOST_ERRORS as exc:
@@ -142,7 +143,7 @@
                 f"{endpoint.url}{STATUS_PATHS[endpoint.kind]}", timeout=timeout
             ) as resp:
                 await raise_for_failure(resp)
-                status = msgspec.json.decode(await resp.read(), type=_Status)
+                status = msgspec.json.decode(await read_body(resp), type=_Status)
         except CONNECTION_LOST_ERRORS as exc:
             raise connection_lost_error(endpoint, exc) from exc
         except msgspec.MsgspecError as exc:
--- a/knapweedhinge/endpoints/plain.py
+++ b/knapweedhinge/endpoints/plain.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from knapweedhinge.conf import EndpointSettings
+from knapweedhinge.core.bodies import read_body
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.core.exceptions import EndpointError
 from knapweedhinge.endpoints.engine import (
@@ -72,7 +73,7 @@
             async with self._request(session, endpoint, call, middlewares) as resp:
                 if idempotent:
                     await raise_for_failure(resp, min_failure_status=MIN_SERVER_ERROR)
-                body = await resp.read()
+                body = await read_body(resp)
                 self._check_request_id(resp, call)
         except CONNECT_ERRORS as exc:
             raise unreachable_error(endpoint) from exc
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from knapweedhinge.controllers.fleet import EndpointGone
+from knapweedhinge.core.bodies import MAX_ANSWER_BYTES
 from knapweedhinge.core.codes import ResultCode, RunState
 from knapweedhinge.core.exceptions import EndpointError, RefusedError
 from knapweedhinge.filters.relay.admit import recheck_admission
@@ -25,7 +26,6 @@
 
 # Connections of all nodes to one endpoint of a service without a catalog entry.
 DEFAULT_MAX_CONNECTIONS = 64
-MAX_BODY_BYTES = 16 * 1024 * 1024  # of an answer that is read into memory whole
 
 
 class RelayAttempt:
@@ -124,16 +124,25 @@
         return await self._channel.read()
 
     async def read_all(self) -> bytes:
-        """Return the whole body; raise EndpointError above ``MAX_BODY_BYTES``."""
-        chunks, size = [], 0
-        while data := await self._channel.read():
-            chunks.append(data)
-            size += len(data)
-            if size > MAX_BODY_BYTES:
-                raise EndpointError(
-                    f"the body is larger than {MAX_BODY_BYTES} bytes",
-                    code=ResultCode.ANSWER_TRUNCATED,
-                )
+        """Return the whole body.
+
+        Raise EndpointError above ``MAX_ANSWER_BYTES``, or if the memory for answers is
+        used up.
+        """
+        memory, chunks, size = self._ctx.answer_memory, [], 0
+        try:
+            while data := await self._channel.read():
+                if size + len(data) > MAX_ANSWER_BYTES or not memory.grow(
+                    size, len(data)
+                ):
+                    raise EndpointError(
+                        f"the body is too long after {size} bytes",
+                        code=ResultCode.ANSWER_TRUNCATED,
+                    )
+                chunks.append(data)
+                size += len(data)
+        finally:
+            memory.release(size)
         self.piece_arrived()
         return b"".join(chunks)
 
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -9,6 +9,7 @@
 from knapweedhinge.conf import VotedLimits
 from knapweedhinge.conf.catalog import CallerOrganisation, CallRoute
 from knapweedhinge.conf.relay import RelaySettings
+from knapweedhinge.controllers.answermemory import AnswerMemory
 from knapweedhinge.controllers.fleet import FleetTracker, FleetView
 from knapweedhinge.controllers.healthtracker import HealthTracker
 from knapweedhinge.controllers.loadtracker import LoadTracker
@@ -224,6 +225,7 @@
     sessions: SessionTracker
     trials: TrialMembership
     quarantine: QuarantineTracker
+    answer_memory: AnswerMemory
     metrics: Metrics
     suspect_crash: Callable[[EndpointView], None] = lambda endpoint: None
     limits: VotedLimits = field(default_factory=VotedLimits)
--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -17,6 +17,10 @@
 # a few hundred events.
 MAX_BUFFERED_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 64 * 1024  # known servers send less than a tenth of it
+# Bytes that may arrive without any byte of the body among them: the head, chunk
+# extensions and trailers.
+MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
+MAX_SKIPPED_BYTES = 1024 * 1024  # of responses to other requests
 # TCP timeouts, so that the kernel ends a connection to a vanished peer after about 3 s.
 USER_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 1
@@ -78,6 +82,8 @@
         self._head: ResponseHead | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
         self._skipping_other = False
         self._interim = False
         self._complete = False
@@ -123,6 +129,8 @@
         self._error = None
         self._chunks.clear()
         self._buffered = 0
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
         self.requests += 1
         self._transport.write(data)
 
@@ -215,20 +223,22 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data.
 
-        Unexpected data prevents reuse, and closes a connection that has no request.
+        Unexpected data closes the connection, since it could go on without end.
         """
         if not self._busy or self._complete:
             self._unexpected_data = True
-            if not self._busy:
-                self.close()
+            self.close()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._unexpected_data = True
-            if not self._complete:
-                self._fail(AnswerBrokenError(f"malformed response: {exc}"))
-                self.close()
+            self._break(f"malformed response: {exc}")
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._break("responses to other requests are too long")
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._break("too many bytes without a part of the body")
 
     def eof_received(self) -> bool:
         """Process an orderly close, which completes a body without length."""
@@ -289,6 +299,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body; pause reading when the buffer is too large."""
+        self._framing_bytes = 0
+        if self._skipping_other:
+            self._skipped_bytes += len(data)
         if self._skipping_other or self._complete:
             return
         self._chunks.append(bytes(data))
@@ -329,6 +342,12 @@
             self._error = exc
         self._wake()
 
+    def _break(self, reason: str) -> None:
+        """Fail a response that is not complete, and close the connection."""
+        if not self._complete:
+            self._fail(AnswerBrokenError(reason))
+            self.close()
+
     def _time_out(self) -> None:
         self._timer = None
         if self._busy and not self._complete:
--- a/knapweedhinge/http1/sse.py
+++ b/knapweedhinge/http1/sse.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+LONGEST_SEPARATOR = b"\r\n\r\n"
 MAX_EVENT_BYTES = 1024 * 1024  # of an event that is still incomplete
 
 
@@ -17,7 +18,7 @@
     """Split a stream into events, buffering the bytes of an incomplete one."""
 
     def __init__(self):
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -29,25 +30,32 @@
 
         Raise ValueError if an incomplete event exceeds MAX_EVENT_BYTES.
         """
-        data = self._rest + data if self._rest else data
+        # The separator may have begun in the bytes received before.
+        searched = max(0, len(self._rest) - len(LONGEST_SEPARATOR) + 1)
+        if self._rest:
+            self._rest += data
+            data = self._rest
         events = []
         start = 0
-        while (end := _end_of_event(data, start)) >= 0:
-            raw = data[start:end]
+        while (end := _end_of_event(data, max(start, searched))) >= 0:
+            raw = bytes(data[start:end])
             events.append(StreamEvent(_number(raw), raw))
             start = end
-        self._rest = data[start:]
+        if data is self._rest:
+            del self._rest[:start]
+        else:
+            self._rest += data[start:]
         if len(self._rest) > MAX_EVENT_BYTES:
             raise ValueError("an event is longer than the limit")
         return events
 
 
-def _end_of_event(data: bytes, start: int) -> int:
-    """Return the end index of the event at ``start``, -1 if it is incomplete."""
+def _end_of_event(data: bytes | bytearray, start: int) -> int:
+    """Return the index after the first separator from ``start`` on, -1 without one."""
     unix = data.find(b"\n\n", start)
-    dos = data.find(b"\r\n\r\n", start, None if unix < 0 else unix + 2)
+    dos = data.find(LONGEST_SEPARATOR, start, None if unix < 0 else unix + 2)
     if dos >= 0:
-        return dos + 4
+        return dos + len(LONGEST_SEPARATOR)
     return unix + 2 if unix >= 0 else -1
 
 
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -15,6 +15,7 @@
 
 from knapweedhinge.conf.relay import RelaySettings, split_address
 from knapweedhinge.controllers.addresses import Address
+from knapweedhinge.controllers.answermemory import AnswerMemory
 from knapweedhinge.controllers.fleet import (
     CatalogSeen,
     EndpointGone,
@@ -71,6 +72,8 @@
 # Share of the memory for bodies of unanswered calls. The program itself and the output
 # buffers of slow clients need the rest.
 BODY_MEMORY_SHARE = 0.2
+ANSWER_MEMORY_SHARE = 0.1  # of the memory, for large answers that are read whole
+MEBIBYTE = 1024 * 1024
 # Added to the time for which a session counts as active, since a caller may measure it
 # from a later moment than the node does.
 SESSION_MARGIN_S = 0.5
@@ -143,6 +146,9 @@
             trials=self.trials,
             # The argument converts times of the clock into wall-clock time.
             quarantine=QuarantineTracker(time.time() - clock()),
+            answer_memory=AnswerMemory(
+                int(ANSWER_MEMORY_SHARE * settings.process.memory_mb * MEBIBYTE)
+            ),
             metrics=self.metrics,
             suspect_crash=self._suspect_crash,
         )
@@ -360,7 +366,7 @@
         files = max(process.files - RESERVED_FILES, process.files // 2)
         process_limits = {
             "max_connections": int(CALLER_FILES_SHARE * files),
-            "max_held_bytes": int(BODY_MEMORY_SHARE * process.memory_mb * 1024 * 1024),
+            "max_held_bytes": int(BODY_MEMORY_SHARE * process.memory_mb * MEBIBYTE),
         }
         if catalog is None:
             return Limits(**process_limits)
--- a/knapweedhinge/platform/store.py
+++ b/knapweedhinge/platform/store.py
@@ -18,6 +18,7 @@
     WriteUnsettledError,
 )
 from knapweedhinge.http1 import (
+    AnswerBrokenError,
     ConnectFailedError,
     Pool,
     PoolFullError,
@@ -30,6 +31,7 @@
 # milliseconds, or within some hundred milliseconds when it is slow.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.8
+MAX_ANSWER_BYTES = 4 * 1024 * 1024  # the store's own limit for rows is a quarter of it
 MAX_CONNECTIONS = 8  # three followed tables, and a few other requests at once
 PAGE_ROWS = 500  # rows of one response; the store returns no more
 MAX_WRITE_ATTEMPTS = 4
@@ -306,9 +308,12 @@
                 )
             channel.send(head + b"\r\n" + data, lambda headers: True)
             status = (await channel.head()).status
-            chunks = []
+            chunks, size = [], 0
             while chunk := await channel.read():
                 chunks.append(chunk)
+                size += len(chunk)
+                if size > MAX_ANSWER_BYTES:
+                    raise AnswerBrokenError(f"the body is too long after {size} bytes")
             return status, b"".join(chunks)
         finally:
             self._pool.release(channel, self._clock())
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -83,9 +83,13 @@
 
         ``fields`` replace those of the default row or add to them.
         """
+        return self.record_at(f"127.0.0.1:{self._server.port}", **fields)
+
+    def record_at(self, address: str, **fields) -> dict:
+        """Return the row of an endpoint like this one at another address."""
         row = {
             "service": self.service,
-            "addr": f"127.0.0.1:{self._server.port}",
+            "addr": address,
             "zone": self.failure_domain,
             "version": self.version,
             "slots": 8,
