--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -267,7 +267,7 @@
 
 
 async def test_a_too_long_answer_is_not_reported_as_not_run(monkeypatch):
-    monkeypatch.setattr("knapweedhinge.filters.relay.attempt.MAX_BODY_BYTES", 4)
+    monkeypatch.setattr("knapweedhinge.filters.relay.attempt.MAX_ANSWER_BYTES", 4)
     replicas = shops()
     async with World(replicas, catalog()) as world:
         reply = await world.ask(request("/pay/x"))
