Don't import aiohttp in nodes on the platform

The attempts have their own limit again. A test now starts an interpreter, imports the relay node and compares what it loaded with deploy/requirements.txt; with the module of it fails (aiosignal, multidict and others loaded).

--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 from knapweedhinge.controllers.fleet import EndpointGone
-from knapweedhinge.core.bodies import MAX_ANSWER_BYTES
 from knapweedhinge.core.codes import ResultCode, RunState
 from knapweedhinge.core.exceptions import EndpointError, RefusedError
 from knapweedhinge.filters.relay.admit import recheck_admission
@@ -26,6 +25,7 @@
 
 # Connections of all nodes to one endpoint of a service without a catalog entry.
 DEFAULT_MAX_CONNECTIONS = 64
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # of an answer that is read into memory whole
 
 
 class RelayAttempt:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -5,6 +5,8 @@
 """
 
 import ast
+import subprocess
+import sys
 from functools import cache
 from pathlib import Path
 
@@ -54,6 +56,11 @@
 # Packages that the commands may import, besides those that ``core`` may.
 ALLOWED_TO_COMMANDS = {"backing", "controllers", "demo", "node"}
 
+# Libraries that are imported by another name than they are installed by.
+DEPLOYED_IMPORT_NAMES = {"hdrhistogram": "hdrh", "pycapnp": "capnp"}
+# What the deployed libraries themselves install and import.
+DEPENDENCIES_OF_DEPLOYED = {"cython_runtime", "pyhdrh"}
+
 # Modules that decisions may not import. Decisions get the present time as an argument.
 IMPURE_MODULES = {
     "aiohttp",
@@ -212,3 +219,25 @@
     path.write_text(text)
     monkeypatch.setattr(f"{__name__}.ROOT", tmp_path)
     assert name in imports(path)
+
+
+def deployed_packages() -> set[str]:
+    """Return the import names of the libraries that the platform installs for nodes."""
+    lines = (ROOT / "deploy" / "requirements.txt").read_text().splitlines()
+    names = {line.partition("==")[0] for line in lines if not line.startswith("#")}
+    return {DEPLOYED_IMPORT_NAMES.get(name, name) for name in names}
+
+
+def test_a_node_on_the_platform_imports_only_what_is_installed_there():
+    code = (
+        "import sys; before = set(sys.modules); import knapweedhinge.node.relay;"
+        "print(*{name.partition('.')[0] for name in set(sys.modules) - before})"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], check=True, capture_output=True, text=True
+    )
+    loaded = set(done.stdout.split()) - sys.stdlib_module_names - {PACKAGE}
+    third_party = {
+        name for name in loaded if not name.startswith("_") and name != "sitecustomize"
+    }
+    assert third_party <= deployed_packages() | DEPENDENCIES_OF_DEPLOYED
