Count an answer given up for a larger model as a run of the call

And a call whose small model had answered, and whose larger model was refused, got 503, which promises that it has not run.

Cause: the retry decision counts the failed attempts. An answer that is dropped to ask a larger model is no failed attempt, so neither the bound on runs nor the run state of the whole call knew of it.

The call now counts its dropped runs, and both decisions take them into account. With them the number of runs is the number of times the call was sent and not refused, which is what the route bounds.

Evidence: test_a_run_given_up_for_a_larger_model_counts_with_the_retries gives 4 and 5 runs before where 3 and 4 are allowed, and test_no_answer_says_not_run_after_a_run_given_up_for_a_larger_model 503 instead of 502. tests/platform/test_calls.py: 48 passed.

--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -96,7 +96,8 @@
     ``in_trial`` says whether the call goes to a release on trial, decided once so that
     all attempts agree. ``chosen_model`` is the model asked now, empty unless the node
     chooses the model. ``attempts`` holds the failed attempts and ``tried`` the ids of
-    their endpoints; ``runs`` counts the attempts that may have run.
+    their endpoints; ``runs`` counts the attempts that may have run, ``dropped_runs``
+    those of them whose answers were dropped to ask a larger model.
     ``last_event_number`` and ``sent_bytes`` say how much of a stream the caller has
     already received.
     """
@@ -112,6 +113,7 @@
         self.attempts: tuple[Attempt, ...] = ()
         self.tried: frozenset[str] = frozenset()
         self.runs = 0
+        self.dropped_runs = 0
         self.last_event_number = req.call.after_event_number
         self.sent_bytes = 0
 
@@ -172,6 +174,7 @@
             attempts=self.attempts,
             resumable=route.resumable and self.last_event_number is not None,
             most_runs=route.most_runs,
+            dropped_runs=self.dropped_runs,
         )
         decision = decide_retry(retry_request, ctx.budget.at(now), now, ctx.rng)
         if isinstance(decision, Stop):
@@ -246,9 +249,10 @@
         If an attempt may have run, the refusal takes the code of the last attempt. A
         code that itself means "not run" is replaced by ENDPOINT_FAILED.
         """
-        exc.run_state = overall_run_state(self.attempts)
+        exc.run_state = overall_run_state(self.attempts, self.dropped_runs)
         if exc.run_state is not RunState.NOT_RUN:
-            exc.code = self.attempts[-1].code
+            if self.attempts:
+                exc.code = self.attempts[-1].code
             if exc.code.value.run_state is RunState.NOT_RUN:
                 exc.code = ResultCode.ENDPOINT_FAILED
         return exc
@@ -276,6 +280,7 @@
     def _escalate(self, attempt: RelayAttempt, larger: str) -> None:
         """Drop the answer and set the larger model for the next attempt."""
         attempt.superseded(f"confidence {attempt.head.confidence}, asking {larger}")
+        self.dropped_runs += 1
         self.ctx.budget.spend(self.req.service, 1.0, self.ctx.clock())
         self.ctx.metrics.count("escalations", self.req.route.name)
         self.chosen_model = larger
--- a/knapweedhinge/routing/retry.py
+++ b/knapweedhinge/routing/retry.py
@@ -54,7 +54,8 @@
     ``deadline`` is in seconds, on the clock that ``decide_retry()`` gets its ``now``
     from; ``expected_s`` is the expected duration of an attempt. ``resumable`` tells
     that another endpoint can continue a stream after what the client already received.
-    ``most_runs`` bounds the attempts that ran or may have run.
+    ``most_runs`` bounds the attempts that ran or may have run, among them
+    ``dropped_runs`` whose answers were dropped to ask a larger model.
     """
 
     organisation: str
@@ -64,6 +65,7 @@
     resumable: bool = False
     expected_s: float = 0.0
     most_runs: int = MAX_ATTEMPTS
+    dropped_runs: int = 0
 
 
 class RetryKind(StrEnum):
@@ -151,9 +153,12 @@
             self._balances.popitem(last=False)
 
 
-def overall_run_state(attempts: tuple[Attempt, ...]) -> RunState:
-    """Return "not run" if no attempt ran, and "unknown" if any ran or may have."""
-    if all(_certainly_not_run(attempt) for attempt in attempts):
+def overall_run_state(attempts: tuple[Attempt, ...], dropped_runs: int = 0) -> RunState:
+    """Return "not run" if no attempt ran, and "unknown" if any ran or may have.
+
+    ``dropped_runs`` counts runs whose answers were dropped.
+    """
+    if not dropped_runs and all(_certainly_not_run(attempt) for attempt in attempts):
         return RunState.NOT_RUN
     return RunState.UNKNOWN
 
@@ -213,14 +218,16 @@
         return StopReason.NOT_REPEATABLE
     if any(attempt.answer_bytes_sent for attempt in req.attempts) and not req.resumable:
         return StopReason.ANSWER_STARTED
-    ran = sum(not _certainly_not_run(attempt) for attempt in req.attempts)
+    ran = req.dropped_runs + sum(
+        not _certainly_not_run(attempt) for attempt in req.attempts
+    )
     if len(req.attempts) >= MAX_ATTEMPTS or ran >= req.most_runs:
         return StopReason.ATTEMPTS
     return None
 
 
 def _stop(req: RetryRequest, reason: StopReason) -> Stop:
-    state = overall_run_state(req.attempts)
+    state = overall_run_state(req.attempts, req.dropped_runs)
     return Stop(reason, _stop_code(req, reason, state), state)
 
 
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -18,7 +18,9 @@
     """Faults that apply to every call until a test resets them.
 
     - ``refuse``: answer 503 and say that the call was not executed.
+    - ``refuse_model``: do so only if the call asks this model.
     - ``fail``: run the call and answer 500.
+    - ``fail_model``: do so only if the call asks this model.
     - ``mute``: run the call and never answer.
     - ``reset``: run the call and reset the connection.
     - ``unframed``: answer without a length and abort, so that the caller can't tell
@@ -33,7 +35,9 @@
     """
 
     refuse: bool = False
+    refuse_model: bytes | None = None
     fail: bool = False
+    fail_model: bytes | None = None
     mute: bool = False
     reset: bool = False
     unframed: bool = False
@@ -110,7 +114,8 @@
             self.refused.append(exchange)
             exchange.respond(421, (), b"")
             return
-        if self.faults.refuse:
+        model = exchange.get(b"knapweedhinge-model")
+        if self.faults.refuse or (model and model == self.faults.refuse_model):
             self.refused.append(exchange)
             await asyncio.sleep(self.faults.late_s)
             exchange.respond(503, ((b"Knapweedhinge-Not-Executed", b"1"),), b"")
@@ -124,9 +129,9 @@
             exchange.abort()
             return
         headers = self._response_headers(exchange)
-        if self.faults.fail:
+        if self.faults.fail or (model and model == self.faults.fail_model):
             exchange.respond(500, headers, b"failed")
-        elif exchange.get(b"knapweedhinge-model") is not None:
+        elif model is not None:
             await self._respond_stream(exchange, headers)
         else:
             self._respond_whole(exchange, headers)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from knapweedhinge.conf.relay import Promises
 from knapweedhinge.http1 import PoolSettings
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import HOST, KEY, World, catalog, chat, request, route
@@ -223,6 +224,40 @@
     assert replicas[0].header_values(b"knapweedhinge-model") == models
 
 
+DROPPED_CASES = [
+    # most runs of a call, fault of the large model's endpoints, runs in all
+    (3, {"fail_model": b"large"}, 3),
+    (4, {"fail_model": b"large"}, 4),
+]
+
+
+@pytest.mark.parametrize("attempts,faults,runs", DROPPED_CASES)
+async def test_a_run_given_up_for_a_larger_model_counts_with_the_retries(
+    attempts, faults, runs
+):
+    replicas = engines(5, confidence={"small": 10})
+    for replica in replicas:
+        for name, value in faults.items():
+            setattr(replica.faults, name, value)
+    routes = [route("chat", "stream", attempts=attempts)]
+    async with World(
+        replicas, catalog(routes=routes), promises=Promises(retry_allowance=200.0)
+    ) as world:
+        reply = await world.ask(chat())
+    assert reply.status == 500
+    assert sum(len(replica.calls) for replica in replicas) == runs
+
+
+async def test_no_answer_says_not_run_after_a_run_given_up_for_a_larger_model():
+    replicas = engines(2, confidence={"small": 10})
+    async with World(replicas, catalog()) as world:
+        for replica in replicas:
+            replica.faults.refuse_model = b"large"
+        reply = await world.ask(chat())
+    assert any(replica.calls for replica in replicas)
+    assert reply.status == 502
+
+
 async def test_an_attempt_is_cancelled_when_the_caller_disconnects():
     replicas = engines(1)
     async with World(replicas, catalog()) as world:
--- a/tests/routing/test_retry.py
+++ b/tests/routing/test_retry.py
@@ -46,6 +46,9 @@
         ([STARTED], True, {"resumable": True}, RetryKind.CONTINUE),
         ([STARTED, REFUSED], True, {"resumable": True}, RetryKind.CONTINUE),
         ([REFUSED] * MAX_ATTEMPTS, True, {}, StopReason.ATTEMPTS),
+        ([FAILED] * 2, True, {"most_runs": 3}, RetryKind.REPEAT),
+        ([FAILED] * 2, True, {"most_runs": 3, "dropped_runs": 1}, StopReason.ATTEMPTS),
+        ([REFUSED], True, {"most_runs": 2, "dropped_runs": 1}, RetryKind.REPEAT),
         ([FAILED], True, {"deadline": 2.0, "expected_s": 3.0}, StopReason.DEADLINE),
     ],
 )
@@ -55,6 +58,12 @@
     assert found is expected
 
 
+def test_stop_never_says_not_run_after_a_run_whose_answer_was_dropped():
+    answer = decide([REFUSED], deadline=0.0, dropped_runs=1)
+    assert answer.run_state is RunState.UNKNOWN
+    assert answer.code.value.run_state is not RunState.NOT_RUN
+
+
 @pytest.mark.parametrize("attempts", [[FAILED], [FAILED, REFUSED], [EMPTY], [STARTED]])
 @pytest.mark.parametrize("idempotent", [True, False])
 def test_stop_never_says_not_run_after_an_attempt_that_may_have_run(
