Send evidence on releases to the roll-out's owner, not to every node

Cause: each node sent the whole of what it had counted of each release to all others, every 0.4 s. What travels on the same links came late: answers, the stages of the roll-out (up to 1.4 s from the first node to the last) and questions on sessions.

Only the owner of a roll-out judges it, so only the owner gets the evidence now, and only what changed since the last report that it acknowledged; a new owner gets all of it. The traffic grows with the number of nodes, no longer with its square.

--- a/knapweedhinge/controllers/release_tracker.py
+++ b/knapweedhinge/controllers/release_tracker.py
@@ -1,6 +1,9 @@
 """Count how calls to each release of a service turned out, on all nodes."""
 
 from collections import Counter
+from collections.abc import Mapping
+from itertools import chain
+from types import MappingProxyType
 
 import msgspec
 
@@ -12,6 +15,9 @@
     compare_releases,
 )
 
+RowKey = tuple[str, str, CallKind]  # service, version and kind of call
+NO_ROWS: Mapping[RowKey, "AnswerStatsRow"] = MappingProxyType({})
+
 
 class AnswerStatsRow(msgspec.Struct, frozen=True, array_like=True):
     """Statistics of the answers of one version to calls of one kind."""
@@ -23,14 +29,17 @@
 
 
 class ReleaseReport(msgspec.Struct, frozen=True, array_like=True):
-    """Everything a node counted since it started, as it is sent to peers.
+    """What a node counted of one service, as it is sent to the roll-out's owner.
 
-    A newer report replaces an older one. ``in_use`` holds tuples of service, version
-    and number of calls that are running.
+    ``tallies`` holds the rows that changed since the report before, with their counts
+    since the node started, or all rows if ``whole`` is set. ``in_use`` holds each
+    version with the number of calls that are running on it.
     """
 
+    service: str
+    whole: bool
     tallies: tuple[AnswerStatsRow, ...] = ()
-    in_use: tuple[tuple[str, str, int], ...] = ()
+    in_use: tuple[tuple[str, int], ...] = ()
 
 
 class ReleaseTracker:
@@ -43,7 +52,9 @@
         # Keys are service and version.
         self._own_tallies: dict[tuple[str, str], dict[CallKind, AnswerStats]] = {}
         self._running_calls: Counter[tuple[str, str]] = Counter()
-        self._peer_reports: dict[str, ReleaseReport] = {}  # by the peer's VM
+        # What peers reported, by the peer's VM and the service.
+        self._peer_rows: dict[tuple[str, str], dict[RowKey, AnswerStatsRow]] = {}
+        self._peer_running_calls: dict[tuple[str, str], dict[str, int]] = {}
 
     def began(self, service: str, version: str) -> None:
         """Count a call that was started on a release."""
@@ -61,36 +72,51 @@
         tallies[kind] = tallies.get(kind, AnswerStats()).plus(tally)
 
     def forget(self, service: str, version: str) -> None:
-        """Drop this node's counts of a release that was rolled back."""
+        """Drop the counts of a release that was rolled back."""
         self._own_tallies.pop((service, version), None)
+        for rows in self._peer_rows.values():
+            for key in [key for key in rows if key[:2] == (service, version)]:
+                del rows[key]
 
-    def report(self, services: frozenset[str]) -> bytes:
-        """Return this node's encoded report on ``services`` for its peers."""
-        rows = tuple(
-            AnswerStatsRow(service, version, kind, tally)
-            for (service, version), tallies in self._own_tallies.items()
-            if service in services
-            for kind, tally in tallies.items()
-        )
-        in_use = tuple(
-            (service, version, count)
-            for (service, version), count in self._running_calls.items()
-            if service in services and count > 0
+    def report(
+        self, service: str, known: Mapping[RowKey, AnswerStatsRow] = NO_ROWS
+    ) -> ReleaseReport:
+        """Return this node's report on a service, without the rows in ``known``.
+
+        ``known`` holds the rows that the receiver got before, empty for none.
+        """
+        rows = self.rows(service)
+        whole = not known or not rows.keys() >= known.keys()
+        changed = (row for key, row in rows.items() if whole or known.get(key) != row)
+        return ReleaseReport(
+            service, whole, tuple(changed), tuple(self._in_use(service))
         )
-        return msgspec.msgpack.encode(ReleaseReport(rows, in_use))
 
-    def merge(self, vm: str, payload: bytes) -> None:
-        """Replace a peer's report; raise MsgspecError if the payload is malformed."""
-        self._peer_reports[vm] = msgspec.msgpack.decode(payload, type=ReleaseReport)
+    def rows(self, service: str) -> dict[RowKey, AnswerStatsRow]:
+        """Return this node's counts of a service."""
+        return {
+            (name, version, kind): AnswerStatsRow(name, version, kind, tally)
+            for (name, version), tallies in self._own_tallies.items()
+            if name == service
+            for kind, tally in tallies.items()
+        }
+
+    def merge(self, vm: str, report: ReleaseReport) -> None:
+        """Add a peer's report to those before, or replace them by a whole one."""
+        rows = self._peer_rows.setdefault((vm, report.service), {})
+        if report.whole:
+            rows.clear()
+        for row in report.tallies:
+            rows[row.service, row.version, row.kind] = row
+        self._peer_running_calls[vm, report.service] = dict(report.in_use)
 
     def drop_peer(self, vm: str) -> None:
         """Drop the running calls of a peer that has left or failed.
 
         The outcomes that it reported still count.
         """
-        report = self._peer_reports.get(vm)
-        if report is not None:
-            self._peer_reports[vm] = msgspec.structs.replace(report, in_use=())
+        for key in [key for key in self._peer_running_calls if key[0] == vm]:
+            del self._peer_running_calls[key]
 
     def verdict(self, release: Release) -> Verdict:
         """Judge a release against the other versions of its service, over all nodes."""
@@ -104,20 +130,29 @@
 
     def old_in_use(self, release: Release) -> int:
         """Return how many calls run on other versions of the service, on all nodes."""
-        own = [(*key, count) for key, count in self._running_calls.items()]
-        peers = [
-            entry for report in self._peer_reports.values() for entry in report.in_use
-        ]
+        peers = (
+            counts.items()
+            for (_, service), counts in self._peer_running_calls.items()
+            if service == release.service
+        )
         return sum(
             count
-            for service, version, count in [*own, *peers]
-            if service == release.service and version != release.version
+            for version, count in chain(self._in_use(release.service), *peers)
+            if version != release.version
         )
 
+    def _in_use(self, service: str) -> list[tuple[str, int]]:
+        """Return this node's running calls to a service by version."""
+        return [
+            (version, count)
+            for (name, version), count in self._running_calls.items()
+            if name == service and count > 0
+        ]
+
     def _all_tallies(self):
         for (service, version), tallies in self._own_tallies.items():
             for kind, tally in tallies.items():
                 yield service, version, kind, tally
-        for report in self._peer_reports.values():
-            for row in report.tallies:
+        for rows in self._peer_rows.values():
+            for row in rows.values():
                 yield row.service, row.version, row.kind, row.tally
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -17,11 +17,11 @@
 from knapweedhinge.controllers.release_controller import ReleaseController
 from knapweedhinge.core.exceptions import PeerError, PlatformError
 from knapweedhinge.filters.relay import RelayContext
+from knapweedhinge.node.release_reporter import ReleaseReporter
 from knapweedhinge.node.trial_coordinator import TrialCoordinator
 from knapweedhinge.peers import Entry, Member, MembershipView, Peers
 from knapweedhinge.peers.topics import (
     QUARANTINE,
-    STATISTICS,
     STORE_READER_STATUS,
     WORK_SUMS,
 )
@@ -65,6 +65,7 @@
         self._feeds = feeds
         self._release_controller = release_controller
         self._trials = trials
+        self._release_reporter = ReleaseReporter(ctx.releases)
         self._peers: Peers | None = None
         self._gossip: RowGossip | None = None
         self._aggregator = LoadAggregator()
@@ -87,7 +88,6 @@
         )
         peers = Peers(node, self._store, clock=self._ctx.clock, rng=self._ctx.rng)
         peers.changes.subscribe(self._receive_members)
-        peers.subscribe(STATISTICS).subscribe(self._receive_release_report)
         peers.subscribe(QUARANTINE).subscribe(self._receive_quarantine)
         peers.subscribe(WORK_SUMS).subscribe(self._receive_sums)
         peers.subscribe(STORE_READER_STATUS).subscribe(self._receive_reader_status)
@@ -96,6 +96,7 @@
         self._peers = peers
         self._gossip = RowGossip(self._feeds, peers)
         self._trials.attach(peers)
+        self._release_reporter.attach(peers)
         self._ctx.quarantine.updates_for_peers.subscribe(self._publish_quarantine)
         self._receive_members(peers.membership)
         logger.bind(members=len(self.members)).info("joined peers")
@@ -134,10 +135,7 @@
         return owner is not None and owner.vm == self._vm
 
     async def report(self) -> None:
-        """Publish this node's reader status, its load and its release statistics.
-
-        The statistics are by release, and only for services with a running roll-out.
-        """
+        """Send peers this node's reader status, its load and its part in roll-outs."""
         if self._peers is None:
             return
         now = self._ctx.clock()
@@ -148,11 +146,10 @@
             )
         await self._report_load(now)
         await self._trials.report()
-        services = frozenset(
-            release.service for release in self._release_controller.running()
-        )
-        if services:
-            self._publish(STATISTICS, self._vm, self._ctx.releases.report(services))
+        for release in self._release_controller.running():
+            owner = self._trials.owner(release.service)
+            if owner is not None:
+                await self._release_reporter.report(release.service, owner)
 
     @property
     def _vm(self) -> str:
@@ -235,10 +232,6 @@
         self._ctx.fleet.nodes = max(1, len(active))
         self._ctx.budget.set_nodes(self._ctx.fleet.nodes)
 
-    def _receive_release_report(self, entry: Entry) -> None:
-        if entry.key != self._vm:
-            _apply_entry(entry, lambda data: self._ctx.releases.merge(entry.key, data))
-
     def _receive_sums(self, entry: Entry) -> None:
         if entry.key == self._ctx.settings.listen.region:
             now = self._ctx.clock()
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -5,12 +5,10 @@
 from dataclasses import replace
 from itertools import count, islice
 
-import msgspec
 import pytest
 
 from knapweedhinge.conf import ListenSettings
 from knapweedhinge.conf.relay import Promises
-from knapweedhinge.controllers.release_tracker import ReleaseReport
 from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.routing.releases import Release, in_trial, trial_share
 from knapweedhinge.test.replica import Replica
@@ -108,9 +106,7 @@
         await world.until(lambda: state(world) == "running")
         for name in chosen:
             await world.ask(request("/look/x", request_id=name))
-        report = msgspec.msgpack.decode(
-            world.node.ctx.releases.report(frozenset({"shop"})), type=ReleaseReport
-        )
+        report = world.node.ctx.releases.report("shop")
     assert sum(len(replica.calls) for replica in new) > len(chosen)
     tallies = [row.tally for row in report.tallies if row.version == "v2"]
     assert sum(tally.bad for tally in tallies) == len(chosen)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -59,7 +59,7 @@
 # Libraries that are imported by another name than they are installed by.
 DEPLOYED_IMPORT_NAMES = {"hdrhistogram": "hdrh", "pycapnp": "capnp"}
 # What the deployed libraries themselves install and import.
-DEPENDENCIES_OF_DEPLOYED = {"cython_runtime", "pyhdrh"}
+DEPENDENCIES_OF_DEPLOYED = {"cython_runtime", "pyhdrh", "typing_extensions"}
 
 # Modules that decisions may not import. Decisions get the present time as an argument.
 IMPURE_MODULES = {
