Move to a release only when its times rule out that it is slow

Cause: "not shown to be bad" was taken for "good". After 8 answers without a failure all traffic moved, whatever the times said. After the move all calls are crowded and their times aren't compared.

The verdict now also says whether the times rule out a slow release (upper confidence bound); without that a release stays on trial until 0.68 of its period instead of 0.52.

Evidence: test_a_slow_release_with_few_answers_is_not_taken_to_be_as_fast and the two new stage cases fail without it (the field is new); test_most_good_releases_are_as_fast_after_eight_answers holds the other side. The simulation of roll-outs in test_releaseverdict.py reports the time of its calls, which it left out before.

--- a/knapweedhinge/conf/relay.py
+++ b/knapweedhinge/conf/relay.py
@@ -46,6 +46,11 @@
         minimum=0.0,
         maximum=1.0,
     )
+    exposure_allowance: float = setting(
+        "Calls that a release on trial may receive beyond that share.",
+        default=0.0,
+        minimum=0.0,
+    )
     session_idle_s: float = setting(
         "Time after which the next call of a session may be served by another release.",
         default=10.0,
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -124,7 +124,11 @@
         promises = settings.promises
         self.sessions = SessionTracker(promises.session_idle_s + SESSION_MARGIN_S)
         self.trials = TrialCoordinator(
-            self.fleet, self.sessions, clock, promises.exposure
+            self.fleet,
+            self.sessions,
+            clock,
+            promises.exposure,
+            promises.exposure_allowance,
         )
         bound = BudgetBound(
             promises.retry_ratio, promises.retry_allowance, promises.retry_window_s
--- a/knapweedhinge/node/trial_coordinator.py
+++ b/knapweedhinge/node/trial_coordinator.py
@@ -18,7 +18,11 @@
 from knapweedhinge.core.exceptions import PeerError
 from knapweedhinge.peers import Member, Peers
 from knapweedhinge.routing.releases import Release, Stage, in_trial, trial_share
-from knapweedhinge.routing.trialsessions import TrialSessions
+from knapweedhinge.routing.trialsessions import (
+    EARLY_SHARE_FACTOR,
+    TrialSessions,
+    early_sessions,
+)
 
 RELEASE_ROLE = "releases"  # role of the node that advances a service's roll-outs
 REPORT_METHOD = "trial-report"
@@ -43,11 +47,22 @@
 
 
 class JoinRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Message to the owner: ask whether a hashed session takes part in a trial."""
+    """Message to the owner: ask whether a hashed session takes part in a trial.
+
+    ``early`` marks a session beyond the trial's share.
+    """
 
     service: str
     version: str
     session: int
+    early: bool = False
+
+
+class JoinAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The owner's answer; ``early_left`` says whether early sessions still join."""
+
+    joins: bool
+    early_left: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +82,8 @@
 class TrialCoordinator:
     """Decide for this node's calls whether they go to a release on trial.
 
-    ``exposure`` is the voted share of calls that a release on trial may receive.
+    ``exposure`` is the voted share of calls that a release on trial may receive, and
+    ``allowance`` the number of calls beyond it.
     """
 
     def __init__(
@@ -76,11 +92,16 @@
         sessions: SessionTracker,
         clock: Callable[[], float],
         exposure: float,
+        allowance: float = 0.0,
     ):
         self._fleet = fleet
         self._sessions = sessions
         self._clock = clock
         self._share = trial_share(exposure)
+        self._early_sessions = early_sessions(allowance)
+        self._early_share = min(1.0, EARLY_SHARE_FACTOR * self._share)
+        # Services whose trial takes no more early sessions.
+        self._early_over: set[str] = set()
         self._peers: Peers | None = None
         # What this node decides as the owner, by service and version.
         self._trials: dict[tuple[str, str], TrialSessions] = {}
@@ -109,16 +130,16 @@
         if release is None or release.stage is not Stage.TRIAL:
             self._sessions.arrived(service, session, "", self._clock())
             return False
-        if not in_trial(session or request_id, release, self._share):
-            return False
+        in_share = in_trial(session or request_id, release, self._share)
         if not session:
-            return True
+            return in_share
         known = self._sessions.version(service, session, self._clock())
-        joined = (
-            known == release.version
-            if known is not None
-            else await self._ask(release, session)
-        )
+        if known is not None:
+            joined = known == release.version
+        elif in_share or self._may_join_early(release, session):
+            joined = await self._ask(release, session, early=not in_share)
+        else:
+            joined = False
         version = release.version if joined else ""
         self._sessions.arrived(service, session, version, self._clock())
         return joined
@@ -151,6 +172,7 @@
         services = {release.service for release in running}
         for service in self._reported.keys() - services:
             del self._reported[service]
+        self._early_over &= services
 
     async def _report(self, release: Release) -> None:
         owner = self.owner(release.service)
@@ -184,7 +206,7 @@
     def _session_report(self, release: Release) -> TrialReport:
         by_release: dict[bool, list[int]] = {True: [], False: []}
         for session, version in self._sessions.active(release.service, self._clock()):
-            if in_trial(session, release, self._share):
+            if in_trial(session, release, self._early_share):
                 by_release[version == release.version].append(session_hash(session))
         return TrialReport(
             release.service,
@@ -193,16 +215,25 @@
             tuple(by_release[True]),
         )
 
-    async def _ask(self, release: Release, session: str) -> bool:
+    def _may_join_early(self, release: Release, session: str) -> bool:
+        return (
+            self._early_sessions > 0
+            and release.service not in self._early_over
+            and in_trial(session, release, self._early_share)
+        )
+
+    async def _ask(self, release: Release, session: str, *, early: bool) -> bool:
         owner = self.owner(release.service)
-        req = JoinRequest(release.service, release.version, session_hash(session))
+        req = JoinRequest(
+            release.service, release.version, session_hash(session), early
+        )
         if owner is None:
-            return self._decide(req, ())
+            return self._decide(req, ()).joins
         try:
             answer = await self._peers.call(
                 owner.vm, JOIN_METHOD, msgspec.msgpack.encode(req), JOIN_TIMEOUT_S
             )
-            return msgspec.msgpack.decode(answer, type=bool)
+            decision = msgspec.msgpack.decode(answer, type=JoinAnswer)
         except (PeerError, msgspec.MsgspecError) as exc:
             # The owner must learn that the session stays on the old release.
             self._reported.pop(release.service, None)
@@ -210,14 +241,21 @@
                 f"session kept on the old release, its owner doesn't answer: {exc}"
             )
             return False
+        if not decision.early_left:
+            self._early_over.add(release.service)
+        return decision.joins
 
-    def _decide(self, req: JoinRequest, members: tuple[Member, ...]) -> bool:
+    def _decide(self, req: JoinRequest, members: tuple[Member, ...]) -> JoinAnswer:
         trial = self._trial(req.service, req.version)
         vms = [member.vm for member in members]
-        return trial.joins(req.session, vms, self._clock())
+        joins = trial.joins(req.session, vms, self._clock(), early=req.early)
+        return JoinAnswer(joins, trial.early > 0)
 
     def _trial(self, service: str, version: str) -> TrialSessions:
-        return self._trials.setdefault((service, version), TrialSessions(self._clock()))
+        key = service, version
+        if key not in self._trials:
+            self._trials[key] = TrialSessions(self._clock(), self._early_sessions)
+        return self._trials[key]
 
     async def _receive_report(self, caller: Member, payload: bytes) -> bytes:
         report = _decode(payload, TrialReport, caller)
--- a/knapweedhinge/routing/releases.py
+++ b/knapweedhinge/routing/releases.py
@@ -25,6 +25,10 @@
 TRIAL_SHARE_OF_BOUND = 0.8
 # Fraction of the roll-out period after which all traffic moves.
 MOVE_AT_PERIOD_SHARE = 0.52
+# Fraction of the roll-out period after which all traffic moves although the trial had
+# too few comparable times to rule out that the release is slow. What is left of the
+# period is enough to watch it under full load.
+MOVE_UNTIMED_AT_PERIOD_SHARE = 0.68
 # Fraction of the roll-out period after which the old release is given up even if calls
 # still run on it.
 FINISH_AT_PERIOD_SHARE = 0.85
@@ -119,7 +123,10 @@
         return Stage.ROLLED_BACK
     elapsed = now - release.began_at
     if release.stage is Stage.TRIAL:
-        due = elapsed >= MOVE_AT_PERIOD_SHARE * release.period_s
+        share = (
+            MOVE_AT_PERIOD_SHARE if verdict.as_fast else MOVE_UNTIMED_AT_PERIOD_SHARE
+        )
+        due = elapsed >= share * release.period_s
         return Stage.MOVING if due and verdict.good else None
     proven = moved_s > max(STAGE_SPREAD_S, PROOF_PERIOD_SHARE * release.period_s)
     over = elapsed >= FINISH_AT_PERIOD_SHARE * release.period_s
--- a/knapweedhinge/routing/releaseverdict.py
+++ b/knapweedhinge/routing/releaseverdict.py
@@ -28,6 +28,10 @@
 # interval between pieces depends on the engine alone.
 SLOW_FIRST_PIECE_FACTOR = 2.0
 SLOW_INTERVAL_FACTOR = 1.4
+# A release is as fast as the old one only if the upper confidence bound of its slowdown
+# is below these factors. A release several times slower than the old one exceeds them.
+FAST_FIRST_PIECE_FACTOR = 3.0
+FAST_INTERVAL_FACTOR = 2.0
 # Lower bound of the standard deviation of log times, for small samples: that of times
 # that differ by a factor of 1.5.
 MIN_LOG_DEVIATION = 0.4
@@ -112,6 +116,7 @@
 
 
 StatsByKind = Mapping[CallKind, AnswerStats]
+TimePairs = list[tuple[LogTimes, LogTimes]]  # of the new and the old release
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,12 +124,14 @@
     """Result of comparing a release with the previous one.
 
     A release is neither ``bad`` nor ``good`` while there are too few answers.
-    ``reason`` explains the result in one line.
+    ``reason`` explains the result in one line. ``as_fast`` says that its times are
+    sufficient to rule out that it is several times slower.
     """
 
     bad: bool
     good: bool
     reason: str
+    as_fast: bool = False
 
 
 def load_band(work_s: float) -> int:
@@ -178,7 +185,9 @@
             return Verdict(True, False, f"{route or 'all routes'}: {reason}")
     total = _sum(new.values())
     good = total.answers - total.bad - total.silent
-    return Verdict(False, good >= MIN_GOOD_ANSWERS, f"{good} of {total.answers} good")
+    as_fast = _is_as_fast(new, old)
+    reason = f"{good} of {total.answers} good" + (", as fast" if as_fast else "")
+    return Verdict(False, good >= MIN_GOOD_ANSWERS, reason, as_fast)
 
 
 def _describe_excess(
@@ -210,31 +219,50 @@
 
 def _describe_slowdown(new: StatsByKind, old: StatsByKind) -> str:
     """Describe a slowdown beyond the limits, or return ""."""
-    comparable = [
-        (stats, old.get(kind, AnswerStats()))
-        for kind, stats in new.items()
-        if not is_overloaded(kind)
-    ]
-    first_piece_times = [
-        (stats.first_piece_times, old_stats.first_piece_times)
-        for stats, old_stats in comparable
-    ]
-    piece_intervals = [
-        (stats.piece_intervals, old_stats.piece_intervals)
-        for stats, old_stats in comparable
-    ]
+    first_piece_times, piece_intervals = _comparable_times(new, old)
     for name, pairs, limit in (
         ("to the first piece", first_piece_times, SLOW_FIRST_PIECE_FACTOR),
         ("between pieces", piece_intervals, SLOW_INTERVAL_FACTOR),
     ):
-        slowdown = _slowdown_bound(pairs)
-        if slowdown > limit:
-            return f"at least {slowdown:.1f} times as long {name}"
+        bounds = _slowdown_bounds(pairs)
+        if bounds is not None and bounds[0] > limit:
+            return f"at least {bounds[0]:.1f} times as long {name}"
     return ""
 
 
-def _slowdown_bound(pairs: Iterable[tuple[LogTimes, LogTimes]]) -> float:
-    """Return a lower confidence bound of the slowdown factor, 1 for too few times.
+def _is_as_fast(new: StatsByKind, old: StatsByKind) -> bool:
+    """Return whether the times rule out that the new release is much slower.
+
+    For calls with a streamed answer the intervals decide, see the module's docstring.
+    """
+    first_piece_times, piece_intervals = _comparable_times(new, old)
+    if any(stats.piece_intervals.count for stats in old.values()):
+        bounds, limit = _slowdown_bounds(piece_intervals), FAST_INTERVAL_FACTOR
+    else:
+        bounds, limit = _slowdown_bounds(first_piece_times), FAST_FIRST_PIECE_FACTOR
+    return bounds is not None and bounds[1] < limit
+
+
+def _comparable_times(
+    new: StatsByKind, old: StatsByKind
+) -> tuple[TimePairs, TimePairs]:
+    """Return the new and old times to the first piece, and between pieces, by kind."""
+    comparable = [
+        (stats, old.get(kind, AnswerStats()))
+        for kind, stats in new.items()
+        if not is_overloaded(kind)
+    ]
+    return (
+        [
+            (stats.first_piece_times, olds.first_piece_times)
+            for stats, olds in comparable
+        ],
+        [(stats.piece_intervals, olds.piece_intervals) for stats, olds in comparable],
+    )
+
+
+def _slowdown_bounds(pairs: TimePairs) -> tuple[float, float] | None:
+    """Return confidence bounds of the slowdown factor, None for too few times.
 
     Each pair holds the new and the old times of one kind of call. Kinds are weighted by
     their number of new times; the variance is assumed to be equal in all kinds.
@@ -244,7 +272,7 @@
     ]
     count = sum(new.count for new, _ in comparable)
     if count < MIN_NEW_TIMES:
-        return 1.0
+        return None
     mean_difference = (
         sum(new.count * (new.mean - old.mean) for new, old in comparable) / count
     )
@@ -256,7 +284,8 @@
         MIN_LOG_DEVIATION * MIN_LOG_DEVIATION, squared_deviations / degrees_of_freedom
     )
     inverse = sum(new.count + new.count**2 / old.count for new, old in comparable)
-    return exp(mean_difference - SLOWDOWN_Z * sqrt(variance * inverse) / count)
+    margin = SLOWDOWN_Z * sqrt(variance * inverse) / count
+    return exp(mean_difference - margin), exp(mean_difference + margin)
 
 
 def _sum(all_stats: Iterable[AnswerStats]) -> AnswerStats:
--- a/knapweedhinge/routing/trialsessions.py
+++ b/knapweedhinge/routing/trialsessions.py
@@ -5,6 +5,10 @@
 can't tell, and the call before may have been at any node, so one node decides for all.
 It first collects the recently active sessions of every node. Only sessions that the
 hash assigns to the trial are asked for, a few percent of all calls.
+
+A small service has few sessions in its trial, too few to tell a slow release from a
+good one in time. Some sessions beyond the share therefore join when the trial begins,
+from the allowance that operators grant beyond the share.
 """
 
 from collections.abc import Iterable
@@ -12,16 +16,28 @@
 # Seconds after which the trial begins even if some nodes have not reported. They may be
 # cut off; a few sessions moved by the trial do less harm than a roll-out that waits.
 COLLECT_S = 1.5
+# Sessions beyond the share, for each call of the allowance. A session has one or two
+# calls, so most of the allowance is left for what follows the trial.
+EARLY_SESSIONS_PER_CALL = 0.3
+# Share of sessions that are asked for while early sessions join, in trial shares.
+EARLY_SHARE_FACTOR = 3.0
+
+
+def early_sessions(allowance: float) -> int:
+    """Return how many sessions beyond the share join, from the operators' allowance."""
+    return int(EARLY_SESSIONS_PER_CALL * allowance)
 
 
 class TrialSessions:
     """The sessions of one trial, on the node that decides.
 
-    Sessions are identified by their hash. ``began_at`` and ``now`` are in seconds on
-    the node's monotonic clock.
+    Sessions are identified by their hash. ``early`` is the number of sessions beyond
+    the share that may still join. ``began_at`` and ``now`` are in seconds on the node's
+    monotonic clock.
     """
 
-    def __init__(self, began_at: float):
+    def __init__(self, began_at: float, early: int = 0):
+        self.early = early
         self.began_at = began_at
         self._reported: set[str] = set()
         self._open = False
@@ -37,11 +53,14 @@
         self._on_new.update(set(on_new) - self._on_old)
         self._on_old.update(set(on_old) - self._on_new)
 
-    def joins(self, session: int, members: Iterable[str], now: float) -> bool:
+    def joins(
+        self, session: int, members: Iterable[str], now: float, *, early: bool = False
+    ) -> bool:
         """Return whether a session takes part; later calls return the same.
 
         ``members`` are the VMs of the active nodes. A session asked for before all of
-        them have reported stays on the old release.
+        them have reported stays on the old release. ``early`` marks a session beyond
+        the share.
         """
         if session in self._on_new:
             return True
@@ -52,5 +71,8 @@
             or now - self.began_at >= COLLECT_S
             or self._reported.issuperset(members)
         )
-        (self._on_new if self._open else self._on_old).add(session)
-        return self._open
+        joined = self._open and (not early or self.early > 0)
+        if joined and early:
+            self.early -= 1
+        (self._on_new if joined else self._on_old).add(session)
+        return joined
--- a/tests/routing/test_releases.py
+++ b/tests/routing/test_releases.py
@@ -5,6 +5,7 @@
 from knapweedhinge.routing.releases import (
     FINISH_AT_PERIOD_SHARE,
     MOVE_AT_PERIOD_SHARE,
+    MOVE_UNTIMED_AT_PERIOD_SHARE,
     PROOF_PERIOD_SHARE,
     Release,
     Stage,
@@ -17,7 +18,8 @@
 from knapweedhinge.routing.releaseverdict import Verdict
 
 PERIOD_S = 20.0
-GOOD = Verdict(False, True, "")
+GOOD = Verdict(False, True, "", as_fast=True)
+UNTIMED = Verdict(False, True, "")
 UNDECIDED = Verdict(False, False, "")
 BAD = Verdict(True, False, "")
 
@@ -54,6 +56,9 @@
     # stage, verdict, elapsed fraction of the period, calls on the old release, next
     (Stage.TRIAL, GOOD, 0.3, 9, None),
     (Stage.TRIAL, GOOD, MOVE_AT_PERIOD_SHARE + 0.01, 9, Stage.MOVING),
+    # A release that may be slow stays on trial longer.
+    (Stage.TRIAL, UNTIMED, MOVE_AT_PERIOD_SHARE + 0.01, 9, None),
+    (Stage.TRIAL, UNTIMED, MOVE_UNTIMED_AT_PERIOD_SHARE + 0.01, 9, Stage.MOVING),
     (Stage.TRIAL, UNDECIDED, MOVE_AT_PERIOD_SHARE + 0.01, 9, None),
     (Stage.TRIAL, BAD, 0.1, 9, Stage.ROLLED_BACK),
     (Stage.MOVING, BAD, 0.6, 9, Stage.ROLLED_BACK),
--- a/tests/routing/test_releaseverdict.py
+++ b/tests/routing/test_releaseverdict.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+import msgspec
 import pytest
 
 from knapweedhinge.routing.releases import (
@@ -288,6 +289,68 @@
     assert load_band(work_s) == band
 
 
+# A case from a trace of the day ``hasty`` (deploy/days/hasty.toml): median time to the
+# first piece and median interval on idle engines in seconds, number of answers.
+OLD_ON_IDLE_ENGINES = (0.06, 0.047, 30)
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("answers", [3, 4, 8])
+def test_a_slow_release_with_few_answers_is_not_taken_to_be_as_fast(answers, seed):
+    rng = Random(seed)
+    first, interval, count = OLD_ON_IDLE_ENGINES
+    old = AnswerStats(
+        count,
+        first_piece_times=log_times_of(lognormal_times(rng, first, count)),
+        piece_intervals=log_times_of(lognormal_times(rng, interval, count)),
+    )
+    new = AnswerStats(
+        answers,
+        first_piece_times=log_times_of(lognormal_times(rng, first, answers)),
+        piece_intervals=log_times_of(
+            lognormal_times(rng, 2.1 * interval, answers, 0.1)
+        ),
+    )
+    assert not compare_releases({call_kind(): new}, {call_kind(): old}).as_fast
+
+
+def test_most_good_releases_are_as_fast_after_eight_answers():
+    as_fast = 0
+    for seed in range(100):
+        rng = Random(seed)
+        first, interval, count = OLD_ON_IDLE_ENGINES
+        old, new = (
+            AnswerStats(
+                n,
+                first_piece_times=log_times_of(lognormal_times(rng, first, n)),
+                piece_intervals=log_times_of(lognormal_times(rng, interval, n)),
+            )
+            for n in (count, 8)
+        )
+        as_fast += compare_releases({call_kind(): new}, {call_kind(): old}).as_fast
+    assert as_fast >= 90
+
+
+AS_FAST_CASES = [
+    # the new and the old release, whether the new one is known to be as fast
+    (answer_stats(8), answer_stats(50), True),
+    (answer_stats(8, first_s=2.0), answer_stats(50), False),
+    (answer_stats(3), answer_stats(50), False),
+    (answer_stats(8), answer_stats(3), False),
+    # Streamed answers are compared by their intervals.
+    (
+        answer_stats(8),
+        msgspec.structs.replace(answer_stats(50), piece_intervals=times(50, 0.1)),
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize("new,old,as_fast", AS_FAST_CASES)
+def test_a_release_is_as_fast_only_if_its_times_show_it(new, old, as_fast):
+    assert compare_releases({call_kind(): new}, {call_kind(): old}).as_fast is as_fast
+
+
 # Share of all calls, and share of its calls that fail on any release, by route.
 ROUTES = {"a": (0.4, 0.0), "b": (0.25, 0.26), "c": (0.3, 0.02), "d": (0.05, 1.0)}
 
@@ -353,7 +416,10 @@
             )
             kind = call_kind(band=load_band(self.call_s * len(endpoint_ends)))
             stats = stats_by_release[name].get(kind, AnswerStats())
-            stats_by_release[name][kind] = stats.plus(AnswerStats(1, bad=int(bad)))
+            answer = AnswerStats(
+                1, bad=int(bad), first_piece_times=log_times(self.call_s)
+            )
+            stats_by_release[name][kind] = stats.plus(answer)
             endpoint_ends.append(now + self.call_s)
             counts[name] += 1
             moved = release.stage is Stage.MOVING
--- a/tests/routing/test_trialsessions.py
+++ b/tests/routing/test_trialsessions.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from knapweedhinge.routing.trialsessions import COLLECT_S, TrialSessions
+from knapweedhinge.routing.trialsessions import (
+    COLLECT_S,
+    TrialSessions,
+    early_sessions,
+)
 
 BEGAN = 50.0
 NODES = ("a", "b")
@@ -41,3 +45,30 @@
     trial.report("a", [], [])
     assert trial.joins(1, ["a"], BEGAN)
     assert trial.joins(2, ["a", "b"], BEGAN)
+
+
+EARLY_CASES = [
+    # operators' allowance, sessions beyond the share that ask, how many of them join
+    (0.0, 5, 0),
+    (2.0, 5, 0),
+    (30.0, 5, 5),
+    (30.0, 50, 9),
+]
+
+
+@pytest.mark.parametrize("allowance,asked,joined", EARLY_CASES)
+def test_early_sessions_stay_within_the_allowance(allowance, asked, joined):
+    trial = TrialSessions(BEGAN, early_sessions(allowance))
+    for vm in NODES:
+        trial.report(vm, [], [])
+    early = [trial.joins(n, NODES, BEGAN, early=True) for n in range(asked)]
+    assert sum(early) == joined
+    again = [trial.joins(n, NODES, BEGAN, early=True) for n in range(asked)]
+    assert again == early
+    assert trial.joins(1000, NODES, BEGAN)
+
+
+def test_no_early_session_joins_before_all_nodes_have_reported():
+    trial = TrialSessions(BEGAN, early_sessions(30.0))
+    assert not trial.joins(1, NODES, BEGAN, early=True)
+    assert trial.early == early_sessions(30.0)
