Serve callers that connect just after a stopping node's address expired

The node now listens for half a second longer, a margin for connecting. That ends the fault for callers that connect within that time; nothing can for those that are held up longer.

The relay's nodes already accept calls for longer than their addresses live and aren't changed.

--- a/knapweedhinge/node/node.py
+++ b/knapweedhinge/node/node.py
@@ -35,6 +35,8 @@
 from knapweedhinge.node.wiring import ClientSessions, Identity, build_context
 from knapweedhinge.peers import Peers
 
+CONNECT_MARGIN_S = 0.5  # from the check of an address's age to the connection
+
 
 class Node:
     """Build a node from its settings, start it and shut it down gracefully.
@@ -102,12 +104,13 @@
         """Shut down: finish open requests, write pending records, close connections.
 
         Callers cache the list of addresses for ``address_ttl_s`` seconds, so the node
-        continues to serve for that time after it has left the list.
+        continues to serve for that time after it has left the list, and for a margin
+        in which a caller connects to an address that it found to be valid.
         """
         self.state.set_phase(Phase.LEAVING)
         await self.peer_sync.peers.leave()
         await self.permit_coordinator.stop()
-        await asyncio.sleep(self.settings.http.address_ttl_s)
+        await asyncio.sleep(self.settings.http.address_ttl_s + CONNECT_MARGIN_S)
         await self._server.stop()
         await self.ctx.claims.detached.drain(self.settings.http.shutdown_s)
         await self._tasks.stop()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -154,6 +154,8 @@
     ``settings`` are sections of the nodes' settings that differ from the defaults.
     """
 
+    address_ttl_s = 0.5
+
     def __init__(
         self, tmp_path: Path, configuration, deployment, nodes: int = 3, **settings
     ):
@@ -255,7 +257,7 @@
             },
             "platform": to_mapping(PlatformSettings(url=self.platform_url)),
             "keys": {"token_keys": ["test-token-key"], "peer_keys": ["test-peer-key"]},
-            "http": {"address_ttl_s": 0.5, "shutdown_s": 10.0},
+            "http": {"address_ttl_s": self.address_ttl_s, "shutdown_s": 10.0},
             **self.settings,
         }
         path = self.tmp_path / f"{vm.id}.json"
--- a/tests/scenarios/planned_stop.feature
+++ b/tests/scenarios/planned_stop.feature
@@ -7,6 +7,12 @@
     And it still answers callers that were told its address
     And it exits with status 0
 
+  Scenario: A caller is held up between looking at an address and connecting to it
+    When a node is asked to stop
+    Then it says that it takes no new work, code 2004
+    And a caller that connects 100 ms after its address has expired is answered
+    And it exits with status 0
+
   Scenario: One node is stopped under load
     Given every engine takes 20 ms for a token
     When 1 node(s) stop while callers use the addresses they are told
--- a/tests/scenarios/test_planned_stop.py
+++ b/tests/scenarios/test_planned_stop.py
@@ -51,6 +51,22 @@
     assert world.run(world.lookup()).status == 200
 
 
+@then(
+    parse("a caller that connects {ms:d} ms after its address has expired is answered")
+)
+def _(world, ms):
+    async def connect_late():
+        await asyncio.sleep(world.cluster.address_ttl_s + ms / MS_PER_S)
+        ip, port = world.cluster.node_url(0).removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: node\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return line
+
+    assert world.run(connect_late()).startswith(b"HTTP/1.1 200")
+
+
 @then("it exits with status 0")
 def _(world):
     assert world.run(world.node(0).stop()) == 0
