Keep early sessions of a trial on their release at every node

What callers would see: a session that joined a trial beyond its share runs on the new release at one node and on the old one at another.

Cause: a node stops asking for sessions beyond the share once the owner says that no more join, and took all of them to be on the old release, also those that had joined at other nodes.

Beside it: the sessions that a node remembers were bounded in number, not in the length of their names, so that 50,000 names of 16 KB could use up its memory. Names over 64 characters are replaced by a hash, and 10,000 sessions are remembered.

Evidence: test_an_early_session_of_the_trial_stays_there_at_every_node fails on the parent and passes now; test_nodes_are_told_the_early_sessions_once_no_more _join and test_long_names_of_sessions_hold_bounded_memory are new.

--- a/knapweedhinge/controllers/session_tracker.py
+++ b/knapweedhinge/controllers/session_tracker.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-MAX_SESSIONS = 50_000  # the session that was active least recently is dropped first
+MAX_SESSIONS = 10_000  # the session that was active least recently is dropped first
 
 
 @dataclass(slots=True)
--- a/knapweedhinge/node/trial_coordinator.py
+++ b/knapweedhinge/node/trial_coordinator.py
@@ -59,10 +59,14 @@
 
 
 class JoinAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """The owner's answer; ``early_left`` says whether early sessions still join."""
+    """The owner's answer on a session.
+
+    ``early`` holds the hashes of all sessions beyond the share that joined, once no
+    more may; None before.
+    """
 
     joins: bool
-    early_left: bool
+    early: tuple[int, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,8 +104,8 @@
         self._share = trial_share(exposure)
         self._early_sessions = early_sessions(allowance)
         self._early_share = min(1.0, EARLY_SHARE_FACTOR * self._share)
-        # Services whose trial takes no more early sessions.
-        self._early_over: set[str] = set()
+        # By service whose trial takes no more early sessions: those that joined.
+        self._early_joined: dict[str, frozenset[int]] = {}
         self._peers: Peers | None = None
         # What this node decides as the owner, by service and version.
         self._trials: dict[tuple[str, str], TrialSessions] = {}
@@ -136,10 +140,10 @@
         known = self._sessions.version(service, session, self._clock())
         if known is not None:
             joined = known == release.version
-        elif in_share or self._may_join_early(release, session):
-            joined = await self._ask(release, session, early=not in_share)
+        elif in_share:
+            joined = await self._ask(release, session, early=False)
         else:
-            joined = False
+            joined = await self._joins_early(release, session)
         version = release.version if joined else ""
         self._sessions.arrived(service, session, version, self._clock())
         return joined
@@ -170,9 +174,9 @@
             if key in keys or now - trial.began_at < UNKNOWN_TRIAL_KEPT_S
         }
         services = {release.service for release in running}
-        for service in self._reported.keys() - services:
-            del self._reported[service]
-        self._early_over &= services
+        for by_service in (self._reported, self._early_joined):
+            for service in by_service.keys() - services:
+                del by_service[service]
 
     async def _report(self, release: Release) -> None:
         owner = self.owner(release.service)
@@ -215,12 +219,16 @@
             tuple(by_release[True]),
         )
 
-    def _may_join_early(self, release: Release, session: str) -> bool:
-        return (
-            self._early_sessions > 0
-            and release.service not in self._early_over
-            and in_trial(session, release, self._early_share)
-        )
+    async def _joins_early(self, release: Release, session: str) -> bool:
+        """Return whether a session beyond the trial's share takes part."""
+        if not self._early_sessions or not in_trial(
+            session, release, self._early_share
+        ):
+            return False
+        joined = self._early_joined.get(release.service)
+        if joined is not None:
+            return session_hash(session) in joined
+        return await self._ask(release, session, early=True)
 
     async def _ask(self, release: Release, session: str, *, early: bool) -> bool:
         owner = self.owner(release.service)
@@ -241,15 +249,15 @@
                 f"session kept on the old release, its owner doesn't answer: {exc}"
             )
             return False
-        if not decision.early_left:
-            self._early_over.add(release.service)
+        if decision.early is not None:
+            self._early_joined[release.service] = frozenset(decision.early)
         return decision.joins
 
     def _decide(self, req: JoinRequest, members: tuple[Member, ...]) -> JoinAnswer:
         trial = self._trial(req.service, req.version)
         vms = [member.vm for member in members]
         joins = trial.joins(req.session, vms, self._clock(), early=req.early)
-        return JoinAnswer(joins, trial.early > 0)
+        return JoinAnswer(joins, trial.early_joined)
 
     def _trial(self, service: str, version: str) -> TrialSessions:
         key = service, version
--- a/knapweedhinge/platform/headers.py
+++ b/knapweedhinge/platform/headers.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import xxhash
+
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.core.exceptions import CallerError
 from knapweedhinge.filters.relay import (
@@ -28,6 +30,7 @@
 LENGTH_HINT = b"knapweedhinge-length-hint"
 LAST_EVENT = b"last-event-id"
 SESSION = b"session"
+MAX_SESSION_CHARS = 64
 # The endpoint's id, which it sets on its own answers.
 REPLICA_STAMP = b"knapweedhinge-replica-stamp"
 NOT_EXECUTED = b"knapweedhinge-not-executed"  # the endpoint has not run the call
@@ -246,8 +249,14 @@
 
 
 def _session(found: dict[bytes, bytes]) -> str:
-    """Return the caller's session, empty without one."""
-    return _text(found, SESSION)
+    """Return the caller's session, empty without one.
+
+    Sessions are remembered for a while, so that long ones are replaced by a hash.
+    """
+    session = _text(found, SESSION)
+    if len(session) <= MAX_SESSION_CHARS:
+        return session
+    return xxhash.xxh3_128_hexdigest(session.encode())
 
 
 def _invalid_header(message: str) -> CallerError:
--- a/knapweedhinge/routing/trialsessions.py
+++ b/knapweedhinge/routing/trialsessions.py
@@ -31,19 +31,26 @@
 class TrialSessions:
     """The sessions of one trial, on the node that decides.
 
-    Sessions are identified by their hash. ``early`` is the number of sessions beyond
-    the share that may still join. ``began_at`` and ``now`` are in seconds on the node's
-    monotonic clock.
+    Sessions are identified by their hash. ``most_early`` is the number of sessions
+    beyond the share that may join. ``began_at`` and ``now`` are in seconds on the
+    node's monotonic clock.
     """
 
-    def __init__(self, began_at: float, early: int = 0):
-        self.early = early
+    def __init__(self, began_at: float, most_early: int = 0):
+        self._most_early = most_early
+        self._early: list[int] = []
         self.began_at = began_at
         self._reported: set[str] = set()
         self._open = False
         self._on_old: set[int] = set()
         self._on_new: set[int] = set()
 
+    @property
+    def early_joined(self) -> tuple[int, ...] | None:
+        """Return the sessions beyond the share that joined, None while more may."""
+        full = len(self._early) >= self._most_early
+        return tuple(self._early) if full else None
+
     def report(self, vm: str, on_old: Iterable[int], on_new: Iterable[int]) -> None:
         """Record the sessions that recently ran at a node, by release.
 
@@ -71,8 +78,8 @@
             or now - self.began_at >= COLLECT_S
             or self._reported.issuperset(members)
         )
-        joined = self._open and (not early or self.early > 0)
+        joined = self._open and not (early and len(self._early) >= self._most_early)
         if joined and early:
-            self.early -= 1
+            self._early.append(session)
         (self._on_new if joined else self._on_old).add(session)
         return joined
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -370,3 +370,13 @@
         reply = await world.ask(request("/pay/x"))
         assert (reply.status, len(pool)) == (200, 1)
     assert pool.opened == 2
+
+
+async def test_long_names_of_sessions_hold_bounded_memory():
+    async with World([Replica("shop-0", "shop")], catalog()) as world:
+        for name in ("a" * 10_000, "b" * 10_000):
+            reply = await world.ask(request("/look/x", Session=name))
+            assert reply.status == 200
+        found = world.node.sessions.active("shop", world.node.clock())
+    assert len(found) == 2
+    assert all(len(session) <= 64 for session, _ in found)
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -11,6 +11,7 @@
 from knapweedhinge.conf.relay import Promises
 from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.routing.releases import Release, in_trial, trial_share
+from knapweedhinge.routing.trialsessions import early_sessions
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import World, catalog, exchange, request
 from tests.processes import free_port
@@ -122,14 +123,17 @@
 
 
 @asynccontextmanager
-async def two_nodes(replicas):
+async def two_nodes(replicas, **promises):
     """Run two nodes that know each other; yield the world and the second node."""
     first_listen, second_listen = (
         ListenSettings(vm, "127.0.0.1", 0, domain, "here", free_port())
         for vm, domain in (("vm-1", "a"), ("vm-2", "b"))
     )
     async with World(
-        replicas, catalog(), promises=PROMISES, listen=first_listen
+        replicas,
+        catalog(),
+        promises=replace(PROMISES, **promises),
+        listen=first_listen,
     ) as world:
         second = RelayNode(replace(world.settings(), listen=second_listen))
         try:
@@ -215,3 +219,28 @@
             for session in joined:
                 endpoint = await ask(staying, session, f"{session}-2")
                 assert endpoint.startswith("new")
+
+
+async def test_an_early_session_of_the_trial_stays_there_at_every_node():
+    old, _ = shops()
+    async with (
+        two_nodes(old, exposure_allowance=10.0) as (world, second),
+        running_trial(world, world.node, second),
+    ):
+        release, share = Release("shop", "v2", PERIOD_S), trial_share(EXPOSURE)
+        names = (name for n in count() if not in_trial(name := f"e{n}", release, share))
+        sessions = list(islice(names, 60))
+        first = [await ask(world.node, name, f"{name}-1") for name in sessions]
+        again = [await ask(second, name, f"{name}-2") for name in sessions]
+    joined = [
+        name
+        for name, place in zip(sessions, first, strict=True)
+        if place.startswith("new")
+    ]
+    rejoined = [
+        name
+        for name, place in zip(sessions, again, strict=True)
+        if place.startswith("new")
+    ]
+    assert joined == rejoined
+    assert len(joined) == early_sessions(10.0)
--- a/tests/routing/test_trialsessions.py
+++ b/tests/routing/test_trialsessions.py
@@ -71,4 +71,19 @@
 def test_no_early_session_joins_before_all_nodes_have_reported():
     trial = TrialSessions(BEGAN, early_sessions(30.0))
     assert not trial.joins(1, NODES, BEGAN, early=True)
-    assert trial.early == early_sessions(30.0)
+    for vm in NODES:
+        trial.report(vm, [], [])
+    joined = [n for n in range(50) if trial.joins(n, NODES, BEGAN, early=True)]
+    assert 1 not in joined
+    assert len(joined) == early_sessions(30.0)
+
+
+def test_nodes_are_told_the_early_sessions_once_no_more_join():
+    trial = TrialSessions(BEGAN, most_early=2)
+    for vm in NODES:
+        trial.report(vm, [], [])
+    assert trial.joins(1, NODES, BEGAN, early=True)
+    assert trial.early_joined is None
+    assert trial.joins(2, NODES, BEGAN)
+    assert trial.joins(3, NODES, BEGAN, early=True)
+    assert trial.early_joined == (1, 3)
