Log which calls are suspected of an endpoint's crash

Callers saw calls that crash endpoints go on to the next one. The log line of a crash named the endpoint only, so that missing evidence, evidence lost on the way to peers and a verdict that is too strict looked the same.

The line now has the fingerprints of the suspects, at most 20.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -72,8 +72,8 @@
         if not fingerprints:
             del self._running[process]
 
-    def crashed(self, endpoint: EndpointView, limits: VotedLimits, now: float) -> None:
-        """Record that an engine crashed; its requests in flight become suspects."""
+    def crashed(self, endpoint: EndpointView, limits: VotedLimits, now: float) -> Crash:
+        """Record and return an engine's crash; its requests in flight are suspects."""
         fingerprints = frozenset(
             self._running.get((endpoint.id, endpoint.incarnation), ())
         )
@@ -83,6 +83,7 @@
         evidence.add_crash(crash)
         known = evidence.crashes.get(crash.id, crash)
         self._publish(f"crash/{crash.id}", QuarantineEntries(crashes=(known,)))
+        return known
 
     def verdict(
         self, fingerprint: str, limits: VotedLimits, endpoints: int, now: float
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -77,6 +77,7 @@
 # Added to the time for which a session counts as active, since a caller may measure it
 # from a later moment than the node does.
 SESSION_MARGIN_S = 0.5
+MAX_LOGGED_SUSPECTS = 20  # calls named in a log line about a crash
 CRASH_PROBE_S = 1.0  # least interval between two probes of an endpoint; probe timeout
 
 
@@ -342,8 +343,11 @@
             async with asyncio.timeout(CRASH_PROBE_S):
                 _, writer = await asyncio.open_connection(ip, port)
         except ConnectionRefusedError:
-            self.ctx.quarantine.crashed(endpoint, self.ctx.limits, self.clock())
-            logger.bind(endpoint=endpoint.id).warning("endpoint crashed under calls")
+            crash = self.ctx.quarantine.crashed(endpoint, self.ctx.limits, self.clock())
+            suspects = sorted(crash.fingerprints)[:MAX_LOGGED_SUSPECTS]
+            logger.bind(endpoint=endpoint.id, suspects=suspects).warning(
+                "endpoint crashed under calls"
+            )
         except (OSError, TimeoutError) as exc:
             logger.bind(endpoint=endpoint.id).info(f"endpoint unreachable: {exc!r}")
         else:
