Add failing tests for calls that crash endpoints and are sent on

Callers' calls under which endpoints had ended were sent to further ones, by the same node and by its peers. The stand-in for endpoints can crash when it runs a certain call.

Also a test, which passes, for the users' record of four runs where three are allowed: an engine that wrote an earlier refusal once more gives a call a run too many, 1 + 500 + 500 + an answer. The pause before the record's fourth run, 79 ms, is only possible after three failed attempts, which fits that cause and not a dropped answer.

--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -43,6 +43,7 @@
       ``gap`` the next event together with one too far ahead.
     - ``drip_before_event``: before the event with this number, send a byte every 50 ms
       without end.
+    - ``crash_body``: crash when a call with this body begins to run.
 
     ``unframed`` and ``stray`` apply only to answers that aren't streams,
     ``cut_in_event``, ``stall_before_event`` and ``drip_before_event`` only to streams.
@@ -63,6 +64,7 @@
     unproven: int | None = None
     resumed: str = ""
     drip_before_event: int | None = None
+    crash_body: bytes | None = None
 
 
 @dataclass
@@ -71,7 +73,8 @@
 
     ``events`` is the length of a streamed answer, and ``confidence`` the value of the
     confidence header by model. ``calls`` holds the requests that it ran, ``refused``
-    those that it did not run.
+    those that it did not run. ``crashed`` tells that the process ended by a fault;
+    nothing listens then.
     """
 
     id: str
@@ -83,6 +86,7 @@
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     calls: list[Exchange] = field(default_factory=list)
     refused: list[Exchange] = field(default_factory=list)
+    crashed: bool = False
 
     def __post_init__(self):
         self._server = Server(self._handle, Limits)
@@ -145,6 +149,10 @@
             exchange._connection.write(self._refusals.pop(exchange._connection, b""))
         if self.faults.late_s:
             await asyncio.sleep(self.faults.late_s)
+        if exchange.body == self.faults.crash_body:
+            self.crashed = True
+            await self._server.stop()
+            return
         if self.faults.mute:
             await asyncio.sleep(3600)
         if self.faults.reset:
--- /dev/null
+++ b/tests/platform/test_crashes.py
@@ -0,0 +1,52 @@
+"""Calls that crash endpoints are recognised, told to peers and refused."""
+
+import asyncio
+
+from knapweedhinge.test.replica import Replica
+from tests.platform.world import World, catalog, exchange, request, two_nodes
+
+FATAL = b"crashes whoever runs it"
+
+
+def fragile_shops() -> list[Replica]:
+    shops = [Replica(f"shop-{n}", "shop") for n in range(6)]
+    for shop in shops:
+        shop.faults.crash_body = FATAL
+    return shops
+
+
+async def test_a_call_that_crashes_endpoints_is_not_sent_on_to_all_of_them():
+    shops = fragile_shops()
+    async with World(shops, catalog()) as world:
+        for number in range(4):
+            await world.ask(request("/look/x", body=FATAL, request_id=f"f{number}"))
+        reply = await world.ask(request("/look/x", request_id="sound"))
+    assert sum(shop.crashed for shop in shops) == 2
+    assert reply.status == 200
+
+
+async def test_peers_refuse_a_call_that_crashed_endpoints_of_other_nodes():
+    shops = fragile_shops()
+    async with two_nodes(shops) as (world, second):
+        data = request("/look/x", body=FATAL)
+        await world.ask(data)
+        await world.until(lambda: len(second.ctx.quarantine.crashes()) == 2)
+        reply = await exchange(second.caller_server.port, data)
+    assert reply.status == 503
+    assert sum(shop.crashed for shop in shops) == 2
+
+
+async def test_calls_in_flight_beside_one_that_crashes_endpoints_are_still_served():
+    shops = fragile_shops()
+    for shop in shops:
+        shop.faults.late_s = 0.05
+    async with World(shops, catalog()) as world:
+        sound = [
+            asyncio.create_task(world.ask(request("/look/x", request_id=f"s{number}")))
+            for number in range(12)
+        ]
+        await world.ask(request("/look/x", body=FATAL, request_id="fatal"))
+        replies = await asyncio.gather(*sound)
+        later = await world.ask(request("/look/x", request_id="later"))
+    assert later.status == 200
+    assert [reply.status for reply in replies] == [200] * len(replies)
--- a/tests/platform/test_faulty_answers.py
+++ b/tests/platform/test_faulty_answers.py
@@ -39,6 +39,23 @@
     assert (reply.status, len(first.calls + second.calls)) == (status, runs)
 
 
+async def test_a_refusal_sent_again_gives_a_call_no_run_more_than_its_route_allows():
+    engines = replicas("engine", 5)
+    async with World(engines, catalog()) as world:
+        for number, engine in enumerate(engines):
+            world.node.ctx.loads.began(engine.id, 9.0 * number)
+        await world.until(lambda: world.node.peers.members)
+        engines[0].faults.refuse = True
+        assert (await world.ask(chat("r1"))).status == 200
+        engines[0].faults.refuse, engines[0].faults.repeat_refusal = False, True
+        engines[1].faults.fail = engines[2].faults.fail = True
+        for engine in engines:
+            engine.calls.clear()
+        world.node.ctx.health.healths.clear()
+        await world.ask(chat("r2"))
+    assert engines[0].calls and sum(len(engine.calls) for engine in engines) <= 3
+
+
 @pytest.mark.parametrize("unproven", [408, 429, 503])
 @pytest.mark.parametrize("name,status", [("pay", 502), ("look", 200)])
 async def test_a_status_alone_does_not_say_that_a_call_has_not_run(
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -7,14 +7,12 @@
 
 import pytest
 
-from knapweedhinge.conf import ListenSettings
 from knapweedhinge.conf.relay import Promises
 from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.routing.releases import Release, in_trial, trial_share
 from knapweedhinge.routing.trialsessions import early_sessions
 from knapweedhinge.test.replica import Replica
-from tests.platform.world import World, catalog, exchange, request
-from tests.processes import free_port
+from tests.platform.world import World, catalog, exchange, request, two_nodes
 
 PERIOD_S = 4.0
 CALLERS = 6  # concurrent callers, each sending one call after the other
@@ -122,29 +120,6 @@
     )
 
 
-@asynccontextmanager
-async def two_nodes(replicas, **promises):
-    """Run two nodes that know each other; yield the world and the second node."""
-    first_listen, second_listen = (
-        ListenSettings(vm, "127.0.0.1", 0, domain, "here", free_port())
-        for vm, domain in (("vm-1", "a"), ("vm-2", "b"))
-    )
-    async with World(
-        replicas,
-        catalog(),
-        promises=replace(PROMISES, **promises),
-        listen=first_listen,
-    ) as world:
-        second = RelayNode(replace(world.settings(), listen=second_listen))
-        try:
-            await second.start()
-            nodes = (world.node, second)
-            await world.until(lambda: all(len(n.peers.members) == 2 for n in nodes))
-            yield world, second
-        finally:
-            await second.close()
-
-
 async def ask(node: RelayNode, session: str, request_id: str) -> str:
     """Send a call of a session to a node; return the endpoint that answered."""
     data = request("/look/x", request_id=request_id, Session=session)
@@ -179,7 +154,7 @@
     other_node,
 ):
     old, _ = shops()
-    async with two_nodes(old) as (world, second):
+    async with two_nodes(old, promises=PROMISES) as (world, second):
         sessions = trial_sessions("s", 6)
         for session in sessions:
             assert (await ask(world.node, session, session)).startswith("old")
@@ -192,7 +167,7 @@
 async def test_a_session_of_the_trial_stays_on_the_new_release_at_every_node():
     old, _ = shops()
     async with (
-        two_nodes(old) as (world, second),
+        two_nodes(old, promises=PROMISES) as (world, second),
         running_trial(world, world.node, second),
     ):
         for session in trial_sessions("s", 6):
@@ -205,7 +180,7 @@
 
 async def test_a_trial_goes_on_at_the_next_owner_with_the_same_sessions():
     old, _ = shops()
-    async with two_nodes(old) as (world, second):
+    async with two_nodes(old, promises=PROMISES) as (world, second):
         owner = world.node.trials.owner("shop").vm
         leaving, staying = (
             (world.node, second) if owner == "vm-1" else (second, world.node)
@@ -224,7 +199,10 @@
 async def test_an_early_session_of_the_trial_stays_there_at_every_node():
     old, _ = shops()
     async with (
-        two_nodes(old, exposure_allowance=10.0) as (world, second),
+        two_nodes(old, promises=replace(PROMISES, exposure_allowance=10.0)) as (
+            world,
+            second,
+        ),
         running_trial(world, world.node, second),
     ):
         release, share = Release("shop", "v2", PERIOD_S), trial_share(EXPOSURE)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -1,8 +1,8 @@
 """Test environment: a node with a fake store and endpoints, and a raw HTTP client."""
 
 import asyncio
-from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
 
 import httptools
 import msgspec
@@ -12,6 +12,7 @@
 from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.test.replica import Replica
 from knapweedhinge.test.rowstore import RowStoreStandIn
+from tests.processes import free_port
 
 HOST = "api.example"
 KEY = "secret-key"
@@ -117,10 +118,22 @@
 
 
 async def exchange(port: int, data: bytes, timeout_s: float = 5.0) -> Reply:
-    """Send raw bytes and return the response, complete or not."""
+    """Send raw bytes on a new connection and return the response, complete or not."""
+    streams = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        return await ask_on(streams, data, timeout_s)
+    finally:
+        streams[1].close()
+
+
+async def ask_on(streams, data: bytes, timeout_s: float = 5.0) -> Reply:
+    """Send raw bytes on a connection and return the response, complete or not.
+
+    ``streams`` are the connection's reader and writer.
+    """
     reply = Reply()
     parser = httptools.HttpResponseParser(reply)
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = streams
     try:
         async with asyncio.timeout(timeout_s):
             writer.write(data)
@@ -132,8 +145,6 @@
                 reply.status = reply.status or parser.get_status_code()
     except ConnectionResetError:
         reply.whole = False
-    finally:
-        writer.close()
     return reply
 
 
@@ -204,3 +215,21 @@
         """Return the state of a rollout as operators read it, None without one."""
         row = self.store.get("status", f"rollout/{service}")
         return msgspec.json.decode(row) if row else None
+
+
+@asynccontextmanager
+async def two_nodes(replicas: list[Replica], **settings):
+    """Run two nodes that know each other; yield the world and the second node."""
+    first_listen, second_listen = (
+        ListenSettings(vm, "127.0.0.1", 0, domain, "here", free_port())
+        for vm, domain in (("vm-1", "a"), ("vm-2", "b"))
+    )
+    async with World(replicas, catalog(), listen=first_listen, **settings) as world:
+        second = RelayNode(replace(world.settings(), listen=second_listen))
+        try:
+            await second.start()
+            nodes = (world.node, second)
+            await world.until(lambda: all(len(n.peers.members) == 2 for n in nodes))
+            yield world, second
+        finally:
+            await second.close()
