Keep requests as suspects until it is known whether their endpoint crashed

Callers' calls under which endpoints had ended were sent to further endpoints, by every node, without end.

Cause: the evidence was gathered after it was dropped. A broken connection started a probe in the background; the request was taken off the list of requests in flight at once, and was sent again before the probe had an answer. When the probe said that the endpoint had crashed, no request was in flight any more, so nobody was blamed, here or at peers.

A request whose connection broke before it was answered now stays a suspect for two seconds, also if that shows after the crash is known. Its next attempt waits for the probe, at most 0.1 s, and each attempt is checked against the quarantine. Only requests that were sent and have no part of an answer yet are suspects; a probe is shared by calls that break together and may be repeated after 0.1 s instead of 1 s, since an endpoint that reset one connection may crash a moment later.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -3,7 +3,7 @@
 An engine is the process that serves an endpoint; its incarnation changes at a restart.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 from reactivex.subject import Subject
@@ -13,6 +13,10 @@
 from knapweedhinge.routing.load import EndpointView
 from knapweedhinge.routing.quarantine import MAX_TRIAL_S, Quarantine, Verdict
 
+# Seconds for which requests are remembered after their connection to an engine broke.
+# Until then it turns out whether the engine crashed.
+BROKEN_KEPT_S = 2.0
+
 
 class Isolation(msgspec.Struct, frozen=True, array_like=True):
     """Message that an endpoint takes no other requests while a suspect runs there.
@@ -54,6 +58,8 @@
         self._quarantine = Quarantine()
         # Fingerprints of running requests, by endpoint id and incarnation.
         self._running: dict[tuple[str, str], list[str]] = {}
+        # Requests whose connection to an engine broke: time and fingerprint.
+        self._broken: dict[tuple[str, str], list[tuple[float, str]]] = {}
         # Monotonic time in seconds at which an isolation ends, by endpoint id.
         self._isolated: dict[str, float] = {}
         self.updates_for_peers: Subject = Subject()
@@ -72,18 +78,31 @@
         if not fingerprints:
             del self._running[process]
 
+    def broke_off(self, endpoint: EndpointView, fingerprint: str, now: float) -> None:
+        """Note that the connection of a request broke before it was answered.
+
+        The request counts as in flight if the engine turns out to have crashed, or is
+        known to.
+        """
+        oldest = now - BROKEN_KEPT_S
+        self._broken = {
+            process: kept
+            for process, broken in self._broken.items()
+            if (kept := [item for item in broken if item[0] > oldest])
+        }
+        process = endpoint.id, endpoint.incarnation
+        self._broken.setdefault(process, []).append((now, fingerprint))
+        known = self._quarantine.evidence.crashes.get(Crash(*process, now).id)
+        if known is not None:
+            self._add_crash(replace(known, fingerprints=frozenset({fingerprint})))
+
     def crashed(self, endpoint: EndpointView, limits: VotedLimits, now: float) -> Crash:
         """Record and return an engine's crash; its requests in flight are suspects."""
-        fingerprints = frozenset(
-            self._running.get((endpoint.id, endpoint.incarnation), ())
-        )
-        crash = Crash(endpoint.id, endpoint.incarnation, self._wall(now), fingerprints)
-        evidence = self._quarantine.evidence
-        evidence.expire(limits, self._wall(now))
-        evidence.add_crash(crash)
-        known = evidence.crashes.get(crash.id, crash)
-        self._publish(f"crash/{crash.id}", QuarantineEntries(crashes=(known,)))
-        return known
+        process = endpoint.id, endpoint.incarnation
+        broken = [fingerprint for _, fingerprint in self._broken.get(process, ())]
+        suspects = frozenset([*self._running.get(process, ()), *broken])
+        self._quarantine.evidence.expire(limits, self._wall(now))
+        return self._add_crash(Crash(*process, self._wall(now), suspects))
 
     def verdict(
         self, fingerprint: str, limits: VotedLimits, endpoints: int, now: float
@@ -137,6 +156,13 @@
             else:
                 self._isolated[isolation.endpoint_id] = now + MAX_TRIAL_S
 
+    def _add_crash(self, crash: Crash) -> Crash:
+        evidence = self._quarantine.evidence
+        evidence.add_crash(crash)
+        merged = evidence.crashes.get(crash.id, crash)
+        self._publish(f"crash/{crash.id}", QuarantineEntries(crashes=(merged,)))
+        return merged
+
     def _publish_clearance(self, clearance: Clearance) -> None:
         entries = QuarantineEntries(clearances=(clearance,))
         self._publish(f"clearance/{clearance.fingerprint}", entries)
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -13,8 +13,13 @@
 from knapweedhinge.filters.relay.admit import recheck_admission
 from knapweedhinge.filters.relay.evidence import AttemptObservation
 from knapweedhinge.filters.relay.placing import prompt_block_hashes, select_endpoint
+from knapweedhinge.filters.relay.screen import refuse_quarantined
 from knapweedhinge.filters.relay.types import AnswerHead, AttemptParameters, HeadVerdict
-from knapweedhinge.http1 import ConnectFailedError, PoolFullError
+from knapweedhinge.http1 import (
+    AnswerBrokenError,
+    ConnectFailedError,
+    PoolFullError,
+)
 from knapweedhinge.routing.load import EndpointView
 from knapweedhinge.routing.placement import version_of
 from knapweedhinge.routing.releases import may_use
@@ -55,6 +60,7 @@
         self._open = True
         self._started_at = self._ctx.clock()
         self.sent = False
+        self._unanswered = False
         self._chosen_model = execution.chosen_model
         self._version = version_of(endpoint)
         self._uncached_tokens = execution.uncached_tokens(endpoint, blocks)
@@ -70,7 +76,6 @@
             self._version,
             self._started_at,
         )
-        self._ctx.quarantine.started(endpoint, execution.req.fingerprint)
 
     async def send(self) -> None:
         """Send the call and read the status and headers of its answer.
@@ -102,6 +107,8 @@
             after_event_number=execution.last_event_number,
         )
         self.sent = True
+        ctx.quarantine.started(self.endpoint, req.fingerprint)
+        self._unanswered = True
         execution.runs += 1
         self._channel.send(
             ctx.codec.encode(req.call, parameters),
@@ -163,6 +170,7 @@
         self._observation.piece_arrived(now)
         self._ctx.health.served(self.endpoint.id, now)
         if self._observation.pieces == 1:
+            self._end_suspicion()
             self._ctx.loads.ended(self.endpoint.id, self._prefill_s)
             self._work_s -= self._prefill_s
             self._record_prefill_speed()
@@ -219,8 +227,11 @@
             self._observation.record_timeout()
         elif exc.run_state is not RunState.NOT_RUN:
             self._observation.record_failure()
-        if self.sent and exc.code is ResultCode.ANSWER_TRUNCATED:
-            self._ctx.suspect_crash(self.endpoint)
+        if self._unanswered and isinstance(exc, AnswerBrokenError):
+            self._ctx.quarantine.broke_off(
+                self.endpoint, self._execution.req.fingerprint, now
+            )
+            self._execution.crash_suspect = self.endpoint
         self._close(f"{exc.code.number} {exc.message}")
 
     def superseded(self, reason: str) -> None:
@@ -245,6 +256,7 @@
         execution, view = self._execution, self._ctx.fleet.view
         if now >= execution.req.deadline_at:
             raise RefusedError(code=ResultCode.DEADLINE_UNMEETABLE)
+        refuse_quarantined(self._ctx, execution.req, now)
         if not execution.sent_bytes:  # a stream already begun is not cut off
             execution.req = recheck_admission(execution.req, view)
         req = execution.req
@@ -328,6 +340,12 @@
             run_state=RunState.NOT_RUN,
         )
 
+    def _end_suspicion(self) -> None:
+        """Count the call no longer among those that may crash the endpoint."""
+        if self._unanswered:
+            self._unanswered = False
+            self._ctx.quarantine.ended(self.endpoint, self._execution.req.fingerprint)
+
     def _close(self, outcome: str) -> None:
         self._open = False
         now = self._ctx.clock()
@@ -335,7 +353,7 @@
         self._ctx.loads.ended(self.endpoint.id, self._work_s)
         self._ctx.releases.ended(req.service, self._version)
         self._ctx.sessions.ended(req.service, req.call.session, now)
-        self._ctx.quarantine.ended(self.endpoint, req.fingerprint)
+        self._end_suspicion()
         if self._channel is not None:
             self._pool.release(self._channel, now)
         self._execution.trace.attempts.append(
--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -98,6 +98,7 @@
     chooses the model. ``attempts`` holds the failed attempts and ``tried`` the ids of
     their endpoints; ``runs`` counts the attempts that may have run, ``dropped_runs``
     those of them whose answers were dropped to ask a larger model.
+    ``crash_suspect`` is the endpoint that broke off the last attempt unanswered.
     ``last_event_number`` and ``sent_bytes`` say how much of a stream the caller has
     already received.
     """
@@ -114,6 +115,7 @@
         self.tried: frozenset[str] = frozenset()
         self.runs = 0
         self.dropped_runs = 0
+        self.crash_suspect: EndpointView | None = None
         self.last_event_number = req.call.after_event_number
         self.sent_bytes = 0
 
@@ -152,6 +154,7 @@
     async def prepare_next_attempt(self, exc: EndpointError) -> None:
         """Record a failed attempt, and wait until the next one may start.
 
+        If its endpoint crashed, the call may be quarantined before it is sent again.
         Raise EndpointError when no further attempt may be made. It carries the result
         code and run state of the whole call.
         """
@@ -166,6 +169,9 @@
         self.attempts += (attempt,)
         if exc.endpoint_id:
             self.tried |= {exc.endpoint_id}
+        if self.crash_suspect is not None:
+            endpoint, self.crash_suspect = self.crash_suspect, None
+            await ctx.check_crash(endpoint)
         now = ctx.clock()
         retry_request = RetryRequest(
             organisation=self.req.service,  # the retry budget is kept by service
--- a/knapweedhinge/filters/relay/screen.py
+++ b/knapweedhinge/filters/relay/screen.py
@@ -32,20 +32,21 @@
 
     async def __call__(self, req: RelayRequest, trace: CallTrace) -> AnyRelayAnswer:
         """Pass the call on; raise RefusedError if calls like it crashed endpoints."""
-        call_fingerprint = fingerprint_of(req)
-        verdict = self._ctx.quarantine.verdict(
-            call_fingerprint,
-            self._ctx.limits,
-            len(req.view.endpoints.by_id),
-            self._ctx.clock(),
+        req = replace(req, fingerprint=fingerprint_of(req))
+        refuse_quarantined(self._ctx, req, self._ctx.clock())
+        return await self._next(req, trace)
+
+
+def refuse_quarantined(ctx: RelayContext, req: RelayRequest, now: float) -> None:
+    """Raise RefusedError if calls with the same content crashed endpoints."""
+    endpoints = len(req.view.endpoints.by_id)
+    verdict = ctx.quarantine.verdict(req.fingerprint, ctx.limits, endpoints, now)
+    if verdict.standing is Standing.QUARANTINED:
+        raise RefusedError(
+            "calls with the same content crashed endpoints",
+            code=ResultCode.OVERLOADED,
+            retry_after_s=RETRY_AFTER_S,
         )
-        if verdict.standing is Standing.QUARANTINED:
-            raise RefusedError(
-                "calls with the same content crashed endpoints",
-                code=ResultCode.OVERLOADED,
-                retry_after_s=RETRY_AFTER_S,
-            )
-        return await self._next(replace(req, fingerprint=call_fingerprint), trace)
 
 
 def fingerprint_of(req: RelayRequest) -> str:
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -1,7 +1,7 @@
 """Types of relayed calls and their answers, and the context the stages share."""
 
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -204,13 +204,17 @@
         """
 
 
+async def no_check(endpoint: EndpointView) -> None:
+    """Don't look whether the endpoint crashed."""
+
+
 @dataclass(frozen=True)
 class RelayContext:
     """The settings and shared state that all stages use.
 
     ``clock`` returns seconds on a monotonic clock. ``budget`` limits the calls that are
-    sent more than once. ``suspect_crash`` is called with an endpoint that cut off an
-    answer, to find out whether it crashed.
+    sent more than once. ``check_crash`` is called with an endpoint that cut off an
+    answer; it finds out whether the endpoint crashed, and waits briefly for that.
     """
 
     settings: RelaySettings
@@ -230,5 +234,5 @@
     quarantine: QuarantineTracker
     answer_memory: AnswerMemory
     metrics: Metrics
-    suspect_crash: Callable[[EndpointView], None] = lambda endpoint: None
+    check_crash: Callable[[EndpointView], Awaitable[None]] = no_check
     limits: VotedLimits = field(default_factory=VotedLimits)
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -78,7 +78,11 @@
 # from a later moment than the node does.
 SESSION_MARGIN_S = 0.5
 MAX_LOGGED_SUSPECTS = 20  # calls named in a log line about a crash
-CRASH_PROBE_S = 1.0  # least interval between two probes of an endpoint; probe timeout
+CRASH_PROBE_TIMEOUT_S = 1.0  # of a connection that shows whether an endpoint crashed
+CRASH_PROBE_INTERVAL_S = 0.1  # least time between two of them to the same process
+# Longest time that a call waits for a probe before it is sent again. A refused
+# connection tells within a round trip; an endpoint that is out of reach never does.
+CRASH_WAIT_S = 0.1
 
 
 class RelayNode:
@@ -101,7 +105,8 @@
         self._region_by_failure_domain = {
             place.failure_domain: place.region for place in settings.places
         }
-        self._probed_at: dict[str, float] = {}
+        # Start and task of the last crash probe, by endpoint id and incarnation.
+        self._probes: dict[tuple[str, str], tuple[float, asyncio.Task]] = {}
         self._tasks = PeriodicTasks(self.rng)
         self._background: set[asyncio.Task] = set()
         ip, port = split_address(settings.platform.url.removeprefix("http://"))
@@ -156,7 +161,7 @@
                 int(ANSWER_MEMORY_SHARE * settings.process.memory_mb * MEBIBYTE)
             ),
             metrics=self.metrics,
-            suspect_crash=self._suspect_crash,
+            check_crash=self._check_crash,
         )
         self.peers = RelayPeers(
             self.ctx, self.store, self.feeds, self.release_controller, self.trials
@@ -324,32 +329,38 @@
         else:
             log.bind(news=str(event)).info("fleet changed")
 
-    def _suspect_crash(self, endpoint: EndpointView) -> None:
-        """Check whether an endpoint's process ended while calls ran there.
+    async def _check_crash(self, endpoint: EndpointView) -> None:
+        """Find out whether an endpoint's process ended while calls ran there.
 
-        Called after a call's connection broke. Each endpoint is probed at most once
-        in ``CRASH_PROBE_S`` seconds.
+        Called after a call's connection broke. Wait for the result for at most
+        ``CRASH_WAIT_S``. Calls that break at about the same time share one probe.
         """
-        now = self.clock()
-        if now - self._probed_at.get(endpoint.id, float("-inf")) < CRASH_PROBE_S:
-            return
-        self._probed_at[endpoint.id] = now
-        self._spawn(self._probe_crash(endpoint))
+        oldest = self.clock() - CRASH_PROBE_INTERVAL_S
+        self._probes = {
+            process: (began, probe)
+            for process, (began, probe) in self._probes.items()
+            if began > oldest or not probe.done()
+        }
+        process = endpoint.id, endpoint.incarnation
+        if process not in self._probes:
+            probe = self._spawn(self._probe_crash(endpoint))
+            self._probes[process] = self.clock(), probe
+        await asyncio.wait((self._probes[process][1],), timeout=CRASH_WAIT_S)
 
     async def _probe_crash(self, endpoint: EndpointView) -> None:
         """Connect to an endpoint; a refused connection counts as a crash."""
         ip, port = split_address(endpoint.url.removeprefix("http://"))
+        log = logger.bind(endpoint=endpoint.id)
         try:
-            async with asyncio.timeout(CRASH_PROBE_S):
+            async with asyncio.timeout(CRASH_PROBE_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(ip, port)
         except ConnectionRefusedError:
             crash = self.ctx.quarantine.crashed(endpoint, self.ctx.limits, self.clock())
-            suspects = sorted(crash.fingerprints)[:MAX_LOGGED_SUSPECTS]
-            logger.bind(endpoint=endpoint.id, suspects=suspects).warning(
+            log.bind(suspects=sorted(crash.fingerprints)[:MAX_LOGGED_SUSPECTS]).warning(
                 "endpoint crashed under calls"
             )
         except (OSError, TimeoutError) as exc:
-            logger.bind(endpoint=endpoint.id).info(f"endpoint unreachable: {exc!r}")
+            log.info(f"endpoint unreachable: {exc!r}")
         else:
             writer.close()
 
@@ -416,11 +427,12 @@
             "connections_opened": self.ctx.pools.opened,
         }
 
-    def _spawn(self, coroutine) -> None:
+    def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
         task.add_done_callback(log_failure)
+        return task
 
 
 async def serve(
--- /dev/null
+++ b/tests/controllers/test_quarantinetracker.py
@@ -0,0 +1,54 @@
+"""A crash names the requests that were in flight, however late it is noticed."""
+
+import pytest
+
+from knapweedhinge.conf import VotedLimits
+from knapweedhinge.controllers.quarantinetracker import (
+    BROKEN_KEPT_S,
+    QuarantineTracker,
+)
+from knapweedhinge.routing.load import EndpointView
+
+ENGINE = EndpointView("e1", "", "a", "here", incarnation="i1")
+RESTARTED = EndpointView("e1", "", "a", "here", incarnation="i2")
+LIMITS = VotedLimits()
+
+ORDERS = {
+    # steps with their times, suspects of the crash
+    "in flight": ([("start", 0), ("crash", 1)], {"p"}),
+    "broke off first": (
+        [("start", 0), ("break", 1), ("end", 1), ("crash", 1.1)],
+        {"p"},
+    ),
+    "breaks off later": (
+        [("start", 0), ("crash", 1), ("break", 1.1), ("end", 1.1)],
+        {"p"},
+    ),
+    "ended before": ([("start", 0), ("end", 1), ("crash", 1.1)], set()),
+    "broke off long before": (
+        [("start", 0), ("break", 1), ("end", 1), ("break other", 1.1 + BROKEN_KEPT_S)]
+        + [("crash", 1.2 + BROKEN_KEPT_S)],
+        set(),
+    ),
+}
+
+
+@pytest.mark.parametrize("steps,suspects", ORDERS.values(), ids=ORDERS)
+def test_no_request_in_flight_is_missing_from_a_crash(steps, suspects):
+    tracker, published = QuarantineTracker(), []
+    tracker.updates_for_peers.subscribe(published.append)
+    for step, now in steps:
+        match step:
+            case "start":
+                tracker.started(ENGINE, "p")
+            case "break":
+                tracker.broke_off(ENGINE, "p", now)
+            case "break other":
+                tracker.broke_off(RESTARTED, "q", now)
+            case "end":
+                tracker.ended(ENGINE, "p")
+            case "crash":
+                tracker.crashed(ENGINE, LIMITS, now)
+    (crash,) = tracker.crashes()
+    assert crash.fingerprints == suspects
+    assert published[-1].update.entries.crashes == (crash,)
