Lose no evidence of crashes between nodes, before joining or by a restart

What callers saw is the same as before: a call under which endpoints had ended is sent on, by a node that was just started or by its peers.

- A node published crashes only after it had joined its peers; those noticed before were never told.
It now publishes what it knows when it joins.
- A node ignored all entries under its own VM's name, so that after a restart it lacked what its earlier process had found, though its peers still had it.
They are merged now, in both kinds of node; merging is idempotent.
- Two entries of one key published in the same millisecond had the same version, and the one with the smaller payload was dropped, even if it was the newer.
Versions of a process now always rise.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -113,6 +113,10 @@
         """
         return self._quarantine.verdict(fingerprint, limits, endpoints, self._wall(now))
 
+    def known_updates(self) -> tuple[KeyedUpdate, ...]:
+        """Return all known crashes, for peers that this node has just joined."""
+        return tuple(_crash_update(crash) for crash in self.crashes())
+
     def crashes(self) -> tuple[Crash, ...]:
         """Return all known crashes."""
         return tuple(self._quarantine.evidence.crashes.values())
@@ -160,7 +164,7 @@
         evidence = self._quarantine.evidence
         evidence.add_crash(crash)
         merged = evidence.crashes.get(crash.id, crash)
-        self._publish(f"crash/{crash.id}", QuarantineEntries(crashes=(merged,)))
+        self.updates_for_peers.on_next(_crash_update(merged))
         return merged
 
     def _publish_clearance(self, clearance: Clearance) -> None:
@@ -181,3 +185,8 @@
 
     def _wall(self, now: float) -> float:
         return now + self._epoch_s
+
+
+def _crash_update(crash: Crash) -> KeyedUpdate:
+    entries = QuarantineEntries(crashes=(crash,))
+    return KeyedUpdate(f"crash/{crash.id}", QuarantineUpdate(entries))
--- a/knapweedhinge/node/peer_sync.py
+++ b/knapweedhinge/node/peer_sync.py
@@ -89,8 +89,7 @@
         self.peers.publish(QUARANTINE, key, self.peers.next_version(), payload)
 
     def _receive_quarantine(self, entry: Entry) -> None:
-        if entry.vm == self.peers.me.vm:
-            return
+        # Entries of this VM too: they may be from its process before a restart.
         try:
             update = msgspec.msgpack.decode(entry.payload, type=QuarantineUpdate)
         except MsgspecError as exc:
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -104,6 +104,8 @@
         self._gossip = RowGossip(self._feeds, peers)
         self._trials.attach(peers)
         self._release_reporter.attach(peers)
+        for keyed in self._ctx.quarantine.known_updates():
+            self._publish_quarantine(keyed)
         self._ctx.quarantine.updates_for_peers.subscribe(self._publish_quarantine)
         self._receive_members(peers.membership)
         logger.bind(members=len(self.members)).info("joined peers")
@@ -258,9 +260,8 @@
             self._feeds.handle_reader_status(reader_status, self._ctx.clock())
 
     def _receive_quarantine(self, entry: Entry) -> None:
-        update = (
-            _decode_entry(entry, QuarantineUpdate) if entry.vm != self._vm else None
-        )
+        # Entries of this VM too: they may be from its process before a restart.
+        update = _decode_entry(entry, QuarantineUpdate)
         if update is not None:
             self._ctx.quarantine.merge(update, self._ctx.clock())
 
--- a/knapweedhinge/peers/engine.py
+++ b/knapweedhinge/peers/engine.py
@@ -69,6 +69,7 @@
         self._on_change = on_change
         self._beacons = BeaconSchedule()
         self._started = clock()
+        self._last_version = 0
         self._stack = AsyncExitStack()
         self._tasks = Tasks()
         self._refresh_due = False
@@ -183,13 +184,16 @@
         await self._stack.aclose()
 
     def next_version(self) -> int:
-        """Return a version above those of earlier processes of this VM.
+        """Return a version above those this VM published, also in earlier processes.
 
-        It is the incarnation plus the age of the process in ms. It may not be above
-        them if the VM's clock was set back.
+        It is the incarnation plus the age of the process in ms, or one more than the
+        last. It may not be above those of earlier processes if the VM's clock was set
+        back.
         """
         elapsed_ms = int((self.clock() - self._started) * MS_PER_S)
-        return self.membership.me.incarnation + elapsed_ms
+        version = self.membership.me.incarnation + elapsed_ms
+        self._last_version = max(version, self._last_version + 1)
+        return self._last_version
 
     def _own_member(self, peer_port: int) -> Member:
         return own_member(self._cfg, round(self._wall() * MS_PER_S), peer_port)
--- a/knapweedhinge/peers/service.py
+++ b/knapweedhinge/peers/service.py
@@ -128,9 +128,9 @@
     def next_version(self) -> int:
         """Return a version for topics keyed by VM whose entries replace each other.
 
-        It is this process's incarnation plus its age in milliseconds, so two calls
-        within a millisecond return the same. It is above the versions of earlier
-        processes of the VM unless the VM's clock was set back.
+        It is this process's incarnation plus its age in milliseconds, or one more than
+        the last version. It is above the versions of earlier processes of the VM unless
+        the VM's clock was set back.
         """
         return self._engine.next_version()
 
--- a/tests/peers/test_service.py
+++ b/tests/peers/test_service.py
@@ -47,6 +47,14 @@
             assert late.entries("cut")[0].payload == b"cut"
 
 
+async def test_no_entry_is_lost_to_an_earlier_one_of_the_same_millisecond():
+    async with fleet(1) as (node,):
+        payloads = [b"%d" % number for number in reversed(range(50))]
+        for payload in payloads:
+            assert node.publish("cut", "oak@4", node.next_version(), payload)
+        assert node.entries("cut")[0].payload == payloads[-1]
+
+
 @pytest.mark.parametrize(
     ("vm", "method", "code", "run_state"),
     [
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -50,3 +50,31 @@
         later = await world.ask(request("/look/x", request_id="later"))
     assert later.status == 200
     assert [reply.status for reply in replies] == [200] * len(replies)
+
+
+async def test_a_restarted_node_refuses_calls_that_crashed_endpoints_before():
+    shops = fragile_shops()
+    data = request("/look/x", body=FATAL)
+    async with two_nodes(shops) as (world, second):
+        await exchange(second.caller_server.port, data)
+        await world.until(lambda: len(world.node.ctx.quarantine.crashes()) == 2)
+        again = await world.restarted(second)
+        try:
+            await world.until(lambda: len(again.ctx.quarantine.crashes()) == 2, 8)
+            reply = await exchange(again.caller_server.port, data)
+        finally:
+            await again.close()
+    assert reply.status == 503
+    assert sum(shop.crashed for shop in shops) == 2
+
+
+async def test_crashes_noticed_before_a_node_joins_are_told_to_its_peers():
+    shops = fragile_shops()
+    data = request("/look/x", body=FATAL)
+    async with two_nodes(shops, joined=False) as (world, second):
+        assert not world.node.peers.members
+        await world.ask(data)
+        await world.until(lambda: len(second.ctx.quarantine.crashes()) == 2, 8)
+        reply = await exchange(second.caller_server.port, data)
+    assert reply.status == 503
+    assert sum(shop.crashed for shop in shops) == 2
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -107,14 +107,14 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def chat(request_id: str = "r1", **headers: str) -> bytes:
+def chat(request_id: str = "r1", body: bytes = b"hello", **headers: str) -> bytes:
     """Return a request whose answer is an event stream."""
     defaults = {
         "Knapweedhinge_Model": "*",
         "Knapweedhinge_Token_Count": "100,20",
         "Knapweedhinge_Prompt_Prefix": "aa:60,bb:40",
     }
-    return request("/chat/x", request_id=request_id, **defaults | headers)
+    return request("/chat/x", body=body, request_id=request_id, **defaults | headers)
 
 
 async def exchange(port: int, data: bytes, timeout_s: float = 5.0) -> Reply:
@@ -206,6 +206,13 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    async def restarted(self, node: RelayNode) -> RelayNode:
+        """Stop a node without notice and start another one with its settings."""
+        await node.close()
+        again = RelayNode(node.settings)
+        await again.start()
+        return again
+
     def change(self, **fields) -> None:
         """Write a catalog with some fields replaced; its version is higher by 3."""
         self.catalog = self.catalog | {"version": self.catalog["version"] + 3} | fields
@@ -218,8 +225,11 @@
 
 
 @asynccontextmanager
-async def two_nodes(replicas: list[Replica], **settings):
-    """Run two nodes that know each other; yield the world and the second node."""
+async def two_nodes(replicas: list[Replica], *, joined: bool = True, **settings):
+    """Run two nodes; yield the world and the second node.
+
+    With ``joined``, wait until they know each other.
+    """
     first_listen, second_listen = (
         ListenSettings(vm, "127.0.0.1", 0, domain, "here", free_port())
         for vm, domain in (("vm-1", "a"), ("vm-2", "b"))
@@ -229,7 +239,8 @@
         try:
             await second.start()
             nodes = (world.node, second)
-            await world.until(lambda: all(len(n.peers.members) == 2 for n in nodes))
+            if joined:
+                await world.until(lambda: all(len(n.peers.members) == 2 for n in nodes))
             yield world, second
         finally:
             await second.close()
