Add a failing test for calls that share a part and crash engines

Callers whose prompts share one part crash one engine after the other, though no two of their calls are alike. The stand-in for endpoints can crash by a part of the prompt.

--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -44,6 +44,8 @@
     - ``drip_before_event``: before the event with this number, send a byte every 50 ms
       without end.
     - ``crash_body``: crash when a call with this body begins to run.
+    - ``crash_part``: crash when a call whose prompt contains the part with this id
+      begins to run.
 
     ``unframed`` and ``stray`` apply only to answers that aren't streams,
     ``cut_in_event``, ``stall_before_event`` and ``drip_before_event`` only to streams.
@@ -65,6 +67,7 @@
     resumed: str = ""
     drip_before_event: int | None = None
     crash_body: bytes | None = None
+    crash_part: bytes | None = None
 
 
 @dataclass
@@ -149,7 +152,7 @@
             exchange._connection.write(self._refusals.pop(exchange._connection, b""))
         if self.faults.late_s:
             await asyncio.sleep(self.faults.late_s)
-        if exchange.body == self.faults.crash_body:
+        if self._is_crashed_by(exchange):
             self.crashed = True
             await self._server.stop()
             return
@@ -170,6 +173,12 @@
         else:
             self._respond_whole(exchange, headers)
 
+    def _is_crashed_by(self, exchange: Exchange) -> bool:
+        prefix = exchange.get(b"knapweedhinge-prompt-prefix") or b""
+        part_ids = {entry.partition(b":")[0] for entry in prefix.split(b",")}
+        body, part = self.faults.crash_body, self.faults.crash_part
+        return exchange.body == body or part in part_ids
+
     def _response_headers(self, exchange: Exchange) -> tuple:
         headers = [(STAMP_HEADER, self.id.encode())]
         request_id = exchange.get(REQUEST_ID_HEADER.lower())
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -2,8 +2,17 @@
 
 import asyncio
 
+import pytest
+
 from knapweedhinge.test.replica import Replica
-from tests.platform.world import World, catalog, exchange, request, two_nodes
+from tests.platform.world import (
+    World,
+    catalog,
+    chat,
+    exchange,
+    request,
+    two_nodes,
+)
 
 FATAL = b"crashes whoever runs it"
 
@@ -78,3 +87,45 @@
         reply = await exchange(second.caller_server.port, data)
     assert reply.status == 503
     assert sum(shop.crashed for shop in shops) == 2
+
+
+def tainted(number: int, first: str = "aa") -> bytes:
+    """Return a chat call with the part that crashes engines; no two are alike."""
+    prefix = f"{first}:60,dd:20,own{number}:40"
+    body = f"tainted {number}".encode()
+    return chat(f"t{number}", Knapweedhinge_Prompt_Prefix=prefix, body=body)
+
+
+def sound(number: int, first: str = "aa") -> bytes:
+    """Return a chat call of the same caller with the same first part."""
+    prefix = f"{first}:60,own{number}:40"
+    return chat(f"s{number}", Knapweedhinge_Prompt_Prefix=prefix)
+
+
+def engines(count: int) -> list[Replica]:
+    found = [Replica(f"engine-{n}", "engine") for n in range(count)]
+    for engine in found:
+        engine.faults.crash_part = b"dd"
+    return found
+
+
+def crashes(replicas: list[Replica]) -> int:
+    return sum(replica.crashed for replica in replicas)
+
+
+@pytest.mark.parametrize("answered_first", [True, False])
+async def test_calls_that_share_a_part_do_not_crash_one_engine_after_the_other(
+    answered_first,
+):
+    replicas = engines(10)
+    async with World(replicas, catalog()) as world:
+        await world.until(lambda: world.node.peers.members)
+        if answered_first:
+            assert (await world.ask(sound(0))).status == 200
+        for number in range(6):
+            assert (await world.ask(tainted(number))).status in (502, 503)
+        replies = [await world.ask(sound(number)) for number in range(1, 5)]
+        refused = await world.ask(tainted(99))
+    assert crashes(replicas) <= 5
+    assert [(reply.status, reply.whole) for reply in replies] == [(200, True)] * 4
+    assert refused.status == 503 and float(refused.headers["retry-after"]) > 10
