Refuse calls by the parts of their prompts that crash engines

Cause: a call was recognised by its whole content only, and no two of these calls are alike, so no evidence about them ever met.

Crashes now also carry the parts of the prompts, but for the last one, of the calls that they left without any part of an answer. A part is blamed after three crashes since its last answer, by two different calls or more; what is refused is the combination of parts that these calls share and no answer has cleared. So calls of the same caller, with the same first part, are served, and a sound part is cleared by its first answer. Crashes that a blamed part explains don't count against other calls. Answers of suspected parts are told to peers, who order all of it by the age of the entries, not by their clocks. Parts, calls and crashes are bounded in number.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -3,15 +3,28 @@
 An engine is the process that serves an endpoint; its incarnation changes at a restart.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import msgspec
+from loguru import logger
 from reactivex.subject import Subject
 
 from knapweedhinge.conf import VotedLimits
-from knapweedhinge.routing.crashes import Clearance, Crash, QuarantineEntries, Trial
+from knapweedhinge.routing.crashes import (
+    Clearance,
+    Crash,
+    QuarantineEntries,
+    Trial,
+    UnansweredCall,
+)
 from knapweedhinge.routing.load import EndpointView
-from knapweedhinge.routing.quarantine import MAX_TRIAL_S, Quarantine, Verdict
+from knapweedhinge.routing.promptquarantine import PromptQuarantine
+from knapweedhinge.routing.quarantine import (
+    MAX_TRIAL_S,
+    Quarantine,
+    Standing,
+    Verdict,
+)
 
 # Seconds for which requests are remembered after their connection to an engine broke.
 # Until then it turns out whether the engine crashed.
@@ -56,10 +69,12 @@
     def __init__(self, epoch_s: float = 0.0):
         self._epoch_s = epoch_s
         self._quarantine = Quarantine()
+        self._prompts = PromptQuarantine()
+        self._last_blamed: frozenset[str] = frozenset()
         # Fingerprints of running requests, by endpoint id and incarnation.
         self._running: dict[tuple[str, str], list[str]] = {}
-        # Requests whose connection to an engine broke: time and fingerprint.
-        self._broken: dict[tuple[str, str], list[tuple[float, str]]] = {}
+        # Requests whose connection to an engine broke, with the time.
+        self._broken: dict[tuple[str, str], list[tuple[float, UnansweredCall]]] = {}
         # Monotonic time in seconds at which an isolation ends, by endpoint id.
         self._isolated: dict[str, float] = {}
         self.updates_for_peers: Subject = Subject()
@@ -78,11 +93,18 @@
         if not fingerprints:
             del self._running[process]
 
-    def broke_off(self, endpoint: EndpointView, fingerprint: str, now: float) -> None:
+    def broke_off(
+        self,
+        endpoint: EndpointView,
+        fingerprint: str,
+        now: float,
+        parts: tuple[str, ...] = (),
+    ) -> None:
         """Note that the connection of a request broke before it was answered.
 
         The request counts as in flight if the engine turns out to have crashed, or is
-        known to.
+        known to. ``parts`` holds the keys of the parts of its prompt that other
+        requests may contain too.
         """
         oldest = now - BROKEN_KEPT_S
         self._broken = {
@@ -91,18 +113,41 @@
             if (kept := [item for item in broken if item[0] > oldest])
         }
         process = endpoint.id, endpoint.incarnation
-        self._broken.setdefault(process, []).append((now, fingerprint))
+        call = UnansweredCall(fingerprint, self._prompts.suspects(parts, now))
+        self._broken.setdefault(process, []).append((now, call))
         known = self._quarantine.evidence.crashes.get(Crash(*process, now).id)
         if known is not None:
-            self._add_crash(replace(known, fingerprints=frozenset({fingerprint})))
+            self._add_crash(_crash(process, known.at, [call]), now)
 
     def crashed(self, endpoint: EndpointView, limits: VotedLimits, now: float) -> Crash:
         """Record and return an engine's crash; its requests in flight are suspects."""
         process = endpoint.id, endpoint.incarnation
-        broken = [fingerprint for _, fingerprint in self._broken.get(process, ())]
-        suspects = frozenset([*self._running.get(process, ()), *broken])
+        broken = [call for _, call in self._broken.get(process, ())]
+        in_flight = [
+            UnansweredCall(name, ()) for name in self._running.get(process, ())
+        ]
         self._quarantine.evidence.expire(limits, self._wall(now))
-        return self._add_crash(Crash(*process, self._wall(now), suspects))
+        return self._add_crash(
+            _crash(process, self._wall(now), [*in_flight, *broken]), now
+        )
+
+    def answered(self, parts: tuple[str, ...], now: float) -> None:
+        """Note that an engine answers a request with these parts in its prompt."""
+        for part in self._prompts.answered(parts, now):
+            entries = QuarantineEntries(answered_parts=(part,))
+            self._publish(f"part/{part}", entries)
+
+    def blamed_parts(
+        self, parts: tuple[str, ...], limits: VotedLimits, now: float
+    ) -> frozenset[str]:
+        """Return the parts of a prompt for which the request is refused, if any."""
+        blamed = self._prompts.blamed(parts, limits, now)
+        if blamed and blamed != self._last_blamed:
+            self._last_blamed = blamed
+            logger.bind(parts=sorted(blamed)).warning(
+                "prompt parts that crash engines are refused"
+            )
+        return blamed
 
     def verdict(
         self, fingerprint: str, limits: VotedLimits, endpoints: int, now: float
@@ -111,7 +156,15 @@
 
         ``endpoints`` is the number of known endpoints.
         """
-        return self._quarantine.verdict(fingerprint, limits, endpoints, self._wall(now))
+        if not self._quarantine.evidence.of(fingerprint):
+            return Verdict(Standing.NORMAL)
+        return self._quarantine.verdict(
+            fingerprint,
+            limits,
+            endpoints,
+            self._wall(now),
+            self._prompts.explained(limits, now),
+        )
 
     def known_updates(self) -> tuple[KeyedUpdate, ...]:
         """Return all known crashes, for peers that this node has just joined."""
@@ -152,21 +205,30 @@
         )
 
     def merge(self, update: QuarantineUpdate, now: float) -> None:
-        """Merge an update from a peer."""
+        """Merge an update that a peer published at the time ``now``."""
         self._quarantine.evidence.merge(update.entries)
+        for crash in update.entries.crashes:
+            self._share_with_prompts(crash.id, now)
+        self._prompts.answered(update.entries.answered_parts, now)
         for isolation in update.isolations:
             if isolation.ended:
                 self._isolated.pop(isolation.endpoint_id, None)
             else:
                 self._isolated[isolation.endpoint_id] = now + MAX_TRIAL_S
 
-    def _add_crash(self, crash: Crash) -> Crash:
+    def _add_crash(self, crash: Crash, now: float) -> Crash:
         evidence = self._quarantine.evidence
         evidence.add_crash(crash)
+        self._share_with_prompts(crash.id, now)
         merged = evidence.crashes.get(crash.id, crash)
         self.updates_for_peers.on_next(_crash_update(merged))
         return merged
 
+    def _share_with_prompts(self, crash_id: str, now: float) -> None:
+        crash = self._quarantine.evidence.crashes.get(crash_id)
+        if crash is not None:
+            self._prompts.add_crash(crash_id, crash.calls, now)
+
     def _publish_clearance(self, clearance: Clearance) -> None:
         entries = QuarantineEntries(clearances=(clearance,))
         self._publish(f"clearance/{clearance.fingerprint}", entries)
@@ -187,6 +249,15 @@
         return now + self._epoch_s
 
 
+def _crash(process: tuple[str, str], at: float, calls: list[UnansweredCall]) -> Crash:
+    return Crash(
+        *process,
+        at,
+        frozenset(call.fingerprint for call in calls),
+        frozenset(call for call in calls if call.parts),
+    )
+
+
 def _crash_update(crash: Crash) -> KeyedUpdate:
     entries = QuarantineEntries(crashes=(crash,))
     return KeyedUpdate(f"crash/{crash.id}", QuarantineUpdate(entries))
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -61,6 +61,7 @@
         self._started_at = self._ctx.clock()
         self.sent = False
         self._unanswered = False
+        self._parts_cleared = False
         self._chosen_model = execution.chosen_model
         self._version = version_of(endpoint)
         self._uncached_tokens = execution.uncached_tokens(endpoint, blocks)
@@ -182,6 +183,7 @@
         without end.
         """
         self._progress_at = self._ctx.clock()
+        self._clear_parts()
 
     def succeeded(self) -> None:
         """End the attempt with a complete and successful answer."""
@@ -194,6 +196,7 @@
         first_piece_s = self._observation.first_piece_s or now - self._started_at
         self._ctx.health.answered(self.endpoint.id, kind, first_piece_s, now)
         self._ctx.quarantine.completed(self._execution.req.fingerprint, now)
+        self._clear_parts()
         self._observation.record_success(first_piece_s)
         self._close("ok")
 
@@ -228,8 +231,9 @@
         elif exc.run_state is not RunState.NOT_RUN:
             self._observation.record_failure()
         if self._unanswered and isinstance(exc, AnswerBrokenError):
+            req = self._execution.req
             self._ctx.quarantine.broke_off(
-                self.endpoint, self._execution.req.fingerprint, now
+                self.endpoint, req.fingerprint, now, req.shared_parts
             )
             self._execution.crash_suspect = self.endpoint
         self._close(f"{exc.code.number} {exc.message}")
@@ -340,6 +344,14 @@
             run_state=RunState.NOT_RUN,
         )
 
+    def _clear_parts(self) -> None:
+        """Note once that the endpoint answers the parts of the call's prompt."""
+        if not self._parts_cleared:
+            self._parts_cleared = True
+            self._ctx.quarantine.answered(
+                self._execution.req.shared_parts, self._ctx.clock()
+            )
+
     def _end_suspicion(self) -> None:
         """Count the call no longer among those that may crash the endpoint."""
         if self._unanswered:
--- a/knapweedhinge/filters/relay/screen.py
+++ b/knapweedhinge/filters/relay/screen.py
@@ -12,11 +12,13 @@
     RelayRequest,
 )
 from knapweedhinge.routing.crashes import fingerprint
+from knapweedhinge.routing.promptquarantine import part_key
 from knapweedhinge.routing.quarantine import Standing
 
 # Retry-After of a quarantined call, in seconds. The call is accepted again once the
 # evidence against it has expired, after ``quarantine_s``.
 RETRY_AFTER_S = 60.0
+MAX_MESSAGE_CHARS = 200  # callers name the parts of their prompts as they like
 
 
 class ScreenRelay:
@@ -38,7 +40,21 @@
 
 
 def refuse_quarantined(ctx: RelayContext, req: RelayRequest, now: float) -> None:
-    """Raise RefusedError if calls with the same content crashed endpoints."""
+    """Raise RefusedError if calls with the same content or parts crashed endpoints."""
+    blamed = ctx.quarantine.blamed_parts(req.shared_parts, ctx.limits, now)
+    if blamed:
+        ids = [
+            part.id
+            for part, key in zip(req.call.parts, req.shared_parts, strict=False)
+            if key in blamed
+        ]
+        raise RefusedError(
+            f"calls with these parts in their prompts crashed endpoints: {ids}"[
+                :MAX_MESSAGE_CHARS
+            ],
+            code=ResultCode.OVERLOADED,
+            retry_after_s=RETRY_AFTER_S,
+        )
     endpoints = len(req.view.endpoints.by_id)
     verdict = ctx.quarantine.verdict(req.fingerprint, ctx.limits, endpoints, now)
     if verdict.standing is Standing.QUARANTINED:
@@ -49,6 +65,11 @@
         )
 
 
+def shared_parts(req: RelayRequest) -> tuple[str, ...]:
+    """Return the keys of the prompt's parts but the last, which is the call's own."""
+    return tuple(part_key(req.service, part.id) for part in req.call.parts[:-1])
+
+
 def fingerprint_of(req: RelayRequest) -> str:
     """Return a hash of the call's organisation, target and body."""
     organisation = req.organisation.name if req.organisation else ""
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -72,7 +72,8 @@
 
     ``received_at`` and ``deadline_at`` are seconds on the node's monotonic clock.
     ``rank`` is the priority sent to the endpoint, 0 being the highest. ``fingerprint``
-    identifies calls of the same content.
+    identifies calls of the same content. ``shared_parts`` holds the keys of the parts
+    of the prompt that other calls may contain too.
     """
 
     call: RelayCall
@@ -84,6 +85,7 @@
     rank: int
     service: str = ""
     fingerprint: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/knapweedhinge/node/peer_sync.py
+++ b/knapweedhinge/node/peer_sync.py
@@ -95,7 +95,7 @@
         except MsgspecError as exc:
             logger.bind(vm=entry.vm).warning(f"malformed quarantine update: {exc}")
             return
-        self._ctx.quarantine.merge(update, self._ctx.clock())
+        self._ctx.quarantine.merge(update, entry.published_at)
 
 
 def _address(member: Member) -> Address:
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -263,7 +263,7 @@
         # Entries of this VM too: they may be from its process before a restart.
         update = _decode_entry(entry, QuarantineUpdate)
         if update is not None:
-            self._ctx.quarantine.merge(update, self._ctx.clock())
+            self._ctx.quarantine.merge(update, entry.published_at)
 
 
 def change_fields(count: int, joined: set[str], left: set[str]) -> dict[str, Any]:
--- a/knapweedhinge/routing/crashes.py
+++ b/knapweedhinge/routing/crashes.py
@@ -13,6 +13,7 @@
 
 MAX_CRASHES = 1024  # number of crashes kept, the latest ones
 MAX_REQUESTS_PER_CRASH = 512  # number of fingerprints kept for each crash
+MAX_CALLS_PER_CRASH = 64  # number of calls with suspected parts kept for each crash
 MAX_RECORDS = 8192  # number of clearances kept, and likewise of trials
 
 
@@ -27,18 +28,32 @@
     return xxhash.xxh3_128_hexdigest(prefix + name + body)
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredCall:
+    """A call without any part of its answer when its engine crashed.
+
+    ``fingerprint`` is the same for all repetitions of the call. ``parts`` holds the
+    keys of those parts of its prompt that are suspected of the crash.
+    """
+
+    fingerprint: str
+    parts: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """Crash of an engine process on a VM that is still alive.
 
-    ``fingerprints`` names the requests in flight at the time ``at``. A node records
-    only its own requests; merging unites the sets of all nodes.
+    ``fingerprints`` names the requests in flight at the time ``at``, and ``calls``
+    those among them that have suspected parts. A node records only its own requests;
+    merging unites the sets of all nodes.
     """
 
     endpoint_id: str
     incarnation: str
     at: float
     fingerprints: frozenset[str] = frozenset()
+    calls: frozenset[UnansweredCall] = frozenset()
 
     @property
     def id(self) -> str:
@@ -49,12 +64,24 @@
         """Return the crash with the requests of both records and the earlier time.
 
         Only the first ``MAX_REQUESTS_PER_CRASH`` fingerprints in sorted order are kept,
-        so that nodes agree on them.
+        and likewise of the calls, so that nodes agree on them.
         """
         united = self.fingerprints | other.fingerprints
         if len(united) > MAX_REQUESTS_PER_CRASH:
             united = frozenset(sorted(united)[:MAX_REQUESTS_PER_CRASH])
-        return replace(self, at=min(self.at, other.at), fingerprints=united)
+        return replace(
+            self,
+            at=min(self.at, other.at),
+            fingerprints=united,
+            calls=_limited(self.calls | other.calls),
+        )
+
+
+def _limited(calls: frozenset[UnansweredCall]) -> frozenset[UnansweredCall]:
+    if len(calls) <= MAX_CALLS_PER_CRASH:
+        return calls
+    ordered = sorted(calls, key=lambda call: (call.fingerprint, call.parts))
+    return frozenset(ordered[:MAX_CALLS_PER_CRASH])
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,11 +106,15 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineEntries:
-    """Message to peers with crashes, clearances and trials."""
+    """Message to peers with crashes, clearances and trials.
+
+    ``answered_parts`` holds keys of suspected prompt parts that were answered.
+    """
 
     crashes: tuple[Crash, ...] = ()
     clearances: tuple[Clearance, ...] = ()
     trials: tuple[Trial, ...] = ()
+    answered_parts: tuple[str, ...] = ()
 
 
 class CrashEvidence:
--- /dev/null
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -0,0 +1,181 @@
+"""Quarantine of prompt parts that crash the engines which begin to answer them.
+
+Calls that share such a part differ otherwise, so :mod:`quarantine` can't recognise them
+by their content. Sound calls share the caller and other parts of the prompt. Designed
+for engines that run tens of calls at once, of which a node knows only its own: each
+crash makes suspects of the parts of all calls that it left unanswered, and answers
+clear them.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import xxhash
+
+from knapweedhinge.conf.cooperative import VotedLimits
+from knapweedhinge.routing.crashes import UnansweredCall
+
+MAX_CRASHES = 1024  # number of crashes kept, the latest ones
+MAX_PARTS_PER_CALL = 32  # number of suspected parts kept for each call
+MAX_ANSWERED = 8192  # number of parts whose last answer is remembered
+# Crashes without an answer in between before a part is blamed, and the fewest different
+# calls among them: a call that crashes engines alone is blamed for its whole content.
+STRIKES = 3
+MIN_CALLS = 2
+# A part in wide use is in many of the calls that crashes leave unanswered. One that was
+# answered this many seconds ago or less is blamed only after more crashes.
+RECENT_ANSWER_S = 30.0
+STRIKES_AFTER_RECENT_ANSWER = 5
+PRESUMED_SOUND_S = 1.0  # time after an answer in which a part is no suspect
+REVIEW_INTERVAL_S = 0.25  # longest time between two reviews of the evidence
+
+
+def part_key(service: str, part_id: str) -> str:
+    """Return the key of a prompt's part at the engines of a service, 16 hex digits."""
+    name = service.encode()
+    prefix = len(name).to_bytes(4, "big")
+    return xxhash.xxh3_64_hexdigest(prefix + name + part_id.encode())
+
+
+@dataclass(frozen=True, slots=True)
+class _KnownCrash:
+    """A crash with the calls that it left unanswered; ``at`` is when it was learned."""
+
+    at: float
+    calls: frozenset[UnansweredCall]
+
+    @property
+    def parts(self) -> frozenset[str]:
+        return frozenset(part for call in self.calls for part in call.parts)
+
+
+class PromptQuarantine:
+    """Decide which combinations of prompt parts are refused.
+
+    Parts are named by their keys. A part is blamed after several crashes that left
+    different calls with it unanswered, if no call with it was answered in between. What
+    is refused is the combination of all parts that these calls share and that no answer
+    has cleared since, because any of them may be at fault. A crash doesn't count
+    against a part if another part with more crashes explains it.
+
+    All times are in seconds on the node's monotonic clock.
+    """
+
+    def __init__(self):
+        self._crashes: dict[str, _KnownCrash] = {}
+        # Ids of the crashes since its last answer, by part.
+        self._strikes: dict[str, set[str]] = {}
+        self._answered_at: OrderedDict[str, float] = OrderedDict()
+        self._blamed: tuple[frozenset[str], ...] = ()
+        self._explained: frozenset[str] = frozenset()
+        self._reviewed_at = float("-inf")
+
+    def suspects(self, parts: tuple[str, ...], now: float) -> tuple[str, ...]:
+        """Return those of a call's parts that a crash of its engine makes suspects."""
+        return tuple(
+            part for part in parts if now - self._last_answer(part) > PRESUMED_SOUND_S
+        )[:MAX_PARTS_PER_CALL]
+
+    def add_crash(
+        self, crash_id: str, calls: frozenset[UnansweredCall], at: float
+    ) -> None:
+        """Add a crash, or replace the unanswered calls of a known one.
+
+        ``at`` is when this node learned of it; the first time is kept.
+        """
+        known = self._crashes.get(crash_id, _KnownCrash(at, frozenset()))
+        if calls <= known.calls:
+            return
+        if crash_id in self._crashes:
+            self._drop(crash_id)
+        crash = self._crashes[crash_id] = _KnownCrash(known.at, calls)
+        for part in crash.parts:
+            if crash.at > self._last_answer(part):
+                self._strikes.setdefault(part, set()).add(crash_id)
+        if len(self._crashes) > MAX_CRASHES:
+            self._drop(next(iter(self._crashes)))
+        self._reviewed_at = float("-inf")
+
+    def answered(self, parts: tuple[str, ...], now: float) -> tuple[str, ...]:
+        """Note that an engine began to answer a call with these parts.
+
+        Return those that peers may suspect, because of several crashes since the last
+        answer.
+        """
+        cleared = tuple(
+            part for part in parts if len(self._strikes.pop(part, ())) >= MIN_CALLS
+        )
+        for part in parts:
+            self._answered_at[part] = now
+            self._answered_at.move_to_end(part)
+        while len(self._answered_at) > MAX_ANSWERED:
+            self._answered_at.popitem(last=False)
+        if cleared:
+            self._reviewed_at = float("-inf")
+        return cleared
+
+    def blamed(
+        self, parts: tuple[str, ...], limits: VotedLimits, now: float
+    ) -> frozenset[str]:
+        """Return a blamed combination that a call's parts include, empty if none."""
+        if not any(len(self._strikes.get(part, ())) >= STRIKES for part in parts):
+            return frozenset()
+        self._review(limits, now)
+        return next((found for found in self._blamed if found <= {*parts}), frozenset())
+
+    def explained(self, limits: VotedLimits, now: float) -> frozenset[str]:
+        """Return the ids of the crashes that blamed parts explain."""
+        self._review(limits, now)
+        return self._explained
+
+    def _expire(self, oldest: float) -> None:
+        expired = [key for key, crash in self._crashes.items() if crash.at <= oldest]
+        for crash_id in expired:
+            self._drop(crash_id)
+
+    def _review(self, limits: VotedLimits, now: float) -> None:
+        """Find the blamed combinations, unless that was done just now.
+
+        Parts with the most crashes come first, of equal ones that answered longest ago.
+        """
+        if now - self._reviewed_at <= REVIEW_INTERVAL_S:
+            return
+        self._expire(now - limits.quarantine_s)
+        self._reviewed_at = now
+        ranked = sorted(
+            (part for part, ids in self._strikes.items() if len(ids) >= STRIKES),
+            key=lambda part: (-len(self._strikes[part]), self._last_answer(part), part),
+        )
+        blamed, explained = [], set()
+        for part in ranked:
+            unexplained = self._strikes[part] - explained
+            calls = [
+                call
+                for crash_id in unexplained
+                for call in self._crashes[crash_id].calls
+                if part in call.parts
+            ]
+            different = len({call.fingerprint for call in calls})
+            if len(unexplained) < self._needed(part, now) or different < MIN_CALLS:
+                continue
+            shared = frozenset.intersection(*(frozenset(call.parts) for call in calls))
+            blamed.append(frozenset(key for key in shared if key in self._strikes))
+            explained |= self._strikes[part]
+        self._blamed, self._explained = tuple(blamed), frozenset(explained)
+
+    def _needed(self, part: str, now: float) -> int:
+        if now - self._last_answer(part) <= RECENT_ANSWER_S:
+            return STRIKES_AFTER_RECENT_ANSWER
+        return STRIKES
+
+    def _last_answer(self, part: str) -> float:
+        return self._answered_at.get(part, float("-inf"))
+
+    def _drop(self, crash_id: str) -> None:
+        for part in self._crashes.pop(crash_id).parts:
+            ids = self._strikes.get(part)
+            if ids is not None:
+                ids.discard(crash_id)
+                if not ids:
+                    del self._strikes[part]
+        self._reviewed_at = float("-inf")
--- a/knapweedhinge/routing/quarantine.py
+++ b/knapweedhinge/routing/quarantine.py
@@ -89,17 +89,25 @@
         return ended
 
     def verdict(
-        self, fingerprint: str, limits: VotedLimits, endpoints: int, now: float
+        self,
+        fingerprint: str,
+        limits: VotedLimits,
+        endpoints: int,
+        now: float,
+        explained: frozenset[str] = frozenset(),
     ) -> Verdict:
         """Return the standing of a request.
 
         ``endpoints`` is the number of known endpoints; ``now`` is wall-clock time.
+        ``explained`` holds the ids of crashes for which others are blamed.
         """
         crashes = self.evidence.of(fingerprint)
         if not crashes:
             return Verdict(Standing.NORMAL)
         since = max(self.evidence.last_cleared(fingerprint), now - limits.quarantine_s)
-        recent = [crash for crash in crashes if crash.at > since]
+        recent = [
+            crash for crash in crashes if crash.at > since and crash.id not in explained
+        ]
         blamed = [crash for crash in recent if not self._in_burst(crash, endpoints)]
         if not blamed:
             return Verdict(Standing.NORMAL)
--- a/tests/controllers/test_quarantinetracker.py
+++ b/tests/controllers/test_quarantinetracker.py
@@ -8,6 +8,7 @@
     QuarantineTracker,
 )
 from knapweedhinge.routing.load import EndpointView
+from knapweedhinge.routing.quarantine import Standing
 
 ENGINE = EndpointView("e1", "", "a", "here", incarnation="i1")
 RESTARTED = EndpointView("e1", "", "a", "here", incarnation="i2")
@@ -52,3 +53,15 @@
     (crash,) = tracker.crashes()
     assert crash.fingerprints == suspects
     assert published[-1].update.entries.crashes == (crash,)
+
+
+def test_a_sound_request_beside_a_part_that_crashes_engines_is_not_quarantined():
+    tracker = QuarantineTracker()
+    for number in range(3):
+        engine = EndpointView(f"e{number}", "", "a", "here", incarnation="i1")
+        tracker.broke_off(engine, f"tainted{number}", number, ("shared", "fatal"))
+        if number < 2:
+            tracker.broke_off(engine, "sound", number, ("shared",))
+        tracker.crashed(engine, LIMITS, number)
+    assert tracker.blamed_parts(("shared", "fatal"), LIMITS, 3.0)
+    assert tracker.verdict("sound", LIMITS, 10, 3.0).standing is Standing.NORMAL
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -129,3 +129,47 @@
     assert crashes(replicas) <= 5
     assert [(reply.status, reply.whole) for reply in replies] == [(200, True)] * 4
     assert refused.status == 503 and float(refused.headers["retry-after"]) > 10
+
+
+async def test_peers_refuse_calls_with_a_part_that_crashed_engines_of_others():
+    replicas = engines(10)
+    async with two_nodes(replicas) as (world, second):
+        for number in range(4):
+            await world.ask(tainted(number))
+        crashed = crashes(replicas)
+        await world.until(lambda: len(second.ctx.quarantine.crashes()) == crashed)
+        reply = await exchange(second.caller_server.port, tainted(99))
+        other = await exchange(second.caller_server.port, sound(1))
+    assert (reply.status, other.status) == (503, 200)
+    assert crashes(replicas) == crashed <= 5
+
+
+async def test_a_restarted_node_refuses_what_it_refused_before():
+    replicas = engines(10)
+    async with two_nodes(replicas) as (world, second):
+        for number in range(4):
+            await exchange(second.caller_server.port, tainted(number))
+        crashed = crashes(replicas)
+        await world.until(lambda: len(world.node.ctx.quarantine.crashes()) == crashed)
+        again = await world.restarted(second)
+        try:
+            await world.until(lambda: len(again.ctx.quarantine.crashes()) == crashed, 8)
+            reply = await exchange(again.caller_server.port, tainted(99))
+            other = await exchange(again.caller_server.port, sound(1))
+        finally:
+            await again.close()
+    assert (reply.status, other.status) == (503, 200)
+    assert crashes(replicas) == crashed
+
+
+async def test_evidence_found_before_a_node_joins_its_peers_reaches_them():
+    replicas = engines(10)
+    async with two_nodes(replicas, joined=False) as (world, second):
+        assert not world.node.peers.members
+        for number in range(4):
+            await world.ask(tainted(number))
+        crashed = crashes(replicas)
+        await world.until(lambda: len(second.ctx.quarantine.crashes()) == crashed, 8)
+        reply = await exchange(second.caller_server.port, tainted(99))
+    assert reply.status == 503
+    assert crashes(replicas) == crashed <= 5
