Follow the endpoints' records whatever another writer left among them

Other operators' machines ended again and again, or stopped following the list of endpoints, after one odd entry. It happens here: an entry that is nested deeply raises RecursionError, which is no MsgspecError; a port of thousands of digits ValueError; a port out of range or an address that is none is accepted and fails each call that tries it, with an exception that nobody catches. At the start the node ended; later the rows after the odd one were lost, since the version that was read covers them, and after an error in the fleet the subscription ended.

JSON of the store is decoded by decode_json, which takes too deep nesting for malformed data. An error in one row or one change is logged with its key and keeps back nothing else.

--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -316,7 +316,14 @@
         self.sessions.expire(now)
 
     def _apply_event(self, event) -> None:
-        self.fleet.apply(event, self.clock())
+        """Apply a change of the tables; log an error, which would end the subscription.
+
+        The next events are still applied then.
+        """
+        try:
+            self.fleet.apply(event, self.clock())
+        except Exception as exc:
+            logger.bind(news=str(event)).opt(exception=exc).error("change not applied")
 
     def _handle_fleet_change(self, event) -> None:
         if isinstance(event, EndpointGone):
--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -186,7 +186,7 @@
             table, {row.key for row in found.rows}, found.version
         )
         for row in (*found.rows, *gone):
-            self.apply(RowChange(table, row, lapsed), publish=not first)
+            self._apply_read(RowChange(table, row, lapsed), publish=not first)
 
     def follow(self, table: str) -> None:
         """Start to follow a table; do nothing if it is followed already."""
@@ -212,6 +212,19 @@
         if publish:
             self.outgoing.on_next(change)
 
+    def _apply_read(self, change: RowChange, *, publish: bool) -> None:
+        """Apply a row that was read; an error doesn't keep back the rows after it.
+
+        These wouldn't be read again, since the version read so far covers them.
+        """
+        try:
+            self.apply(change, publish=publish)
+        except Exception as exc:
+            row = change.row
+            logger.bind(table=change.table, key=row.key, version=row.version).opt(
+                exception=exc
+            ).error("row not applied")
+
     def newest_versions(self) -> dict[str, int]:
         """Return the version of the newest row held, by followed table."""
         return {
@@ -301,7 +314,7 @@
         if table not in NODE_WRITTEN_TABLES:
             self._polled_at[table] = self._clock()
         for row in found.rows:
-            self.apply(RowChange(table, row, lapsed), publish=True)
+            self._apply_read(RowChange(table, row, lapsed), publish=True)
         return bool(found.rows)
 
     def _must_read(self, now: float) -> bool:
--- a/knapweedhinge/platform/store.py
+++ b/knapweedhinge/platform/store.py
@@ -17,6 +17,7 @@
     RowConflictError,
     WriteUnsettledError,
 )
+from knapweedhinge.core.jsondecode import decode_json
 from knapweedhinge.http1 import (
     AnswerBrokenError,
     ConnectFailedError,
@@ -347,7 +348,7 @@
 
 def _decoded_value(row: Row) -> object | None:
     try:
-        return msgspec.json.decode(row.value)
+        return decode_json(row.value)
     except msgspec.MsgspecError as exc:
         logger.bind(key=row.key).warning(f"malformed JSON in a row: {exc}")
         return None
@@ -389,6 +390,6 @@
 
 def _decode(body: bytes) -> _RowsBody:
     try:
-        return msgspec.json.decode(body, type=_RowsBody)
+        return decode_json(body, _RowsBody)
     except msgspec.MsgspecError as exc:
         raise protocol_error(f"store: malformed answer: {exc}") from exc
--- a/knapweedhinge/platform/wire.py
+++ b/knapweedhinge/platform/wire.py
@@ -4,7 +4,9 @@
 message. Comments explain the names that say little.
 """
 
+import re
 from collections.abc import Callable
+from ipaddress import ip_address
 from typing import Any, TypeVar
 
 import msgspec
@@ -23,9 +25,13 @@
 from knapweedhinge.controllers.fleet import EndpointRecord, ReleaseOrdered
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.core.exceptions import PlatformError
+from knapweedhinge.core.jsondecode import decode_json
 from knapweedhinge.routing.releases import Stage
 
 MS_PER_S = 1_000
+PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65_535
+MAX_COLD_S = 86_400.0  # of an endpoint's record; no endpoint is cold for a day
 T = TypeVar("T")
 
 OPERATOR_TABLE = "op"  # written by operators; nodes only read it
@@ -183,7 +189,7 @@
     ``where`` names the message in the log.
     """
     try:
-        return msgspec.json.decode(data, type=body_type)
+        return decode_json(data, body_type)
     except msgspec.MsgspecError as exc:
         logger.bind(code=ResultCode.PLATFORM_PROTOCOL.number, where=where).warning(
             f"malformed body: {exc}"
@@ -257,24 +263,41 @@
 
     ``region_of`` returns the region of a failure domain.
     """
-    ip, _, port = body.addr.rpartition(":")
-    if body.state not in ("ready", "draining") or not ip or not port.isdigit():
+    address = _address(body.addr)
+    cold_s = body.cold_left_ms / MS_PER_S
+    if (
+        body.state not in ("ready", "draining")
+        or address is None
+        or not 0 <= cold_s <= MAX_COLD_S
+    ):
         logger.bind(endpoint=key).warning("endpoint record names nothing usable")
         return None
+    ip, port = address
     return EndpointRecord(
         id=key,
         service=body.service,
         ip=ip,
-        port=int(port),
+        port=port,
         failure_domain=body.zone,
         region=region_of(body.zone),
         version=body.version,
         born=str(body.born or ""),
         leaving=body.state == "draining",
-        cold_s=body.cold_left_ms / MS_PER_S,
+        cold_s=cold_s,
     )
 
 
+def _address(text: str) -> tuple[str, int] | None:
+    """Return the IP address and port of ``ip:port``, None if it is no such address."""
+    ip, _, port = text.rpartition(":")
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        return None
+    try:
+        return str(ip_address(ip)), int(port)
+    except ValueError:
+        return None
+
+
 def rollout_order_of(body: RolloutBody) -> ReleaseOrdered:
     """Convert an operator's order of a roll-out."""
     return ReleaseOrdered(body.service, body.to, body.period_s)
