Take no stream for whole that ends before its first event

Other operators' callers got a 200 with an empty or short body, framed as whole, when a replica stopped within its answer's head.

What happened: such a stream that ends right after its head was passed on as an empty, complete answer, also as the rest of a stream that had broken off before. It now counts as broken off, and is sent or resumed elsewhere. A stream that ends with its connection inside an event was broken off already; one that ends between two events is whole, since nothing says otherwise.

--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -161,6 +161,20 @@
         self.piece_arrived()
         return b"".join(chunks)
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no piece of the body has arrived."""
+        return not self._observation.pieces
+
+    @property
+    def may_be_cut(self) -> bool:
+        """Return whether an answer that was cut looks like a complete one.
+
+        Its head announced a body that ends with the connection.
+        """
+        is_head_only = self._execution.req.call.method == "HEAD"
+        return self._channel.ends_with_connection and not is_head_only
+
     def piece_arrived(self) -> None:
         """Record that a piece of the answer arrived.
 
--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -376,7 +376,8 @@
     ) -> list[StreamEvent] | None:
         """Return the next complete events, None at the end of a complete stream.
 
-        Raise EndpointError when the stream ends within an event or is malformed.
+        Raise EndpointError when the stream is malformed, or ends within an event or,
+        unless its framing says that it is complete, before the first one.
         """
         while True:
             data = await attempt.read()
@@ -385,6 +386,10 @@
                     raise self._stream_broken(
                         attempt, "the stream ended in the middle of an event"
                     )
+                if attempt.is_empty and attempt.may_be_cut:
+                    raise self._stream_broken(
+                        attempt, "the stream ended before its first event"
+                    )
                 return None
             try:
                 events = splitter.feed(data)
--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -107,6 +107,11 @@
         """Return whether the current response has arrived completely."""
         return self._complete
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the current response."""
+        return self._until_close
+
     @property
     def has_head(self) -> bool:
         """Return whether the head of the current response has arrived."""
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -43,12 +43,17 @@
       ``gap`` the next event together with one too far ahead.
     - ``drip_before_event``: before the event with this number, send a byte every 50 ms
       without end.
+    - ``until_close``: answer with neither a length nor chunks, and end the answer with
+      the connection.
+    - ``close_in_head``: close in an orderly way after this many bytes of the head.
+    - ``close_after``: close in an orderly way after this many bytes of a stream.
     - ``crash_body``: crash when a call with this body begins to run.
     - ``crash_part``: crash when a call whose prompt contains the part with this id
       begins to run.
 
     ``unframed`` and ``stray`` apply only to answers that aren't streams,
-    ``cut_in_event``, ``stall_before_event`` and ``drip_before_event`` only to streams.
+    ``cut_in_event``, ``stall_before_event``, ``drip_before_event`` and ``close_after``
+    only to streams.
     """
 
     refuse: bool = False
@@ -66,6 +71,9 @@
     unproven: int | None = None
     resumed: str = ""
     drip_before_event: int | None = None
+    until_close: bool = False
+    close_in_head: int | None = None
+    close_after: int | None = None
     crash_body: bytes | None = None
     crash_part: bytes | None = None
 
@@ -162,6 +170,13 @@
             exchange.abort()
             return
         headers = self._response_headers(exchange)
+        if self.faults.close_in_head is not None:
+            head = b"HTTP/1.1 200 OK\r\n" + b"".join(b"%s: %s\r\n" % h for h in headers)
+            exchange._connection.write(head[: self.faults.close_in_head])
+            exchange._connection._close()
+            return
+        if self.faults.until_close:
+            exchange.version = "1.0"
         if self.faults.fail or (model and model == self.faults.fail_model):
             exchange.respond(500, headers, b"failed")
         elif self.faults.unproven:
@@ -192,6 +207,10 @@
 
     def _respond_whole(self, exchange: Exchange, headers: tuple) -> None:
         body = b"%s %s" % (self.id.encode(), exchange.body)
+        if self.faults.until_close:
+            exchange.begin(200, headers, body)
+            exchange.end()
+            return
         if self.faults.unframed:
             exchange.version = "1.0"
             exchange.begin(200, headers, body)
@@ -219,6 +238,12 @@
     async def _respond_stream(self, exchange: Exchange, headers: tuple) -> None:
         first = int(exchange.get(b"last-event-id") or 0) + 1
         exchange.begin(200, (*headers, SSE_CONTENT_TYPE))
+        if self.faults.close_after is not None:
+            numbers = range(first, self.events + 1)
+            data = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+            exchange.send(data[: self.faults.close_after])
+            exchange._connection._close()
+            return
         for number in range(first, self.events + 1):
             if number == self.faults.stall_before_event:
                 await asyncio.sleep(3600)
