Answer calls that outlast a planned stop instead of cutting them off

But a call that had been taken before and still ran at the end was cut off without an answer, also if it may not be repeated, so that its caller couldn't tell whether the node had read it.

Such calls are now answered just before the node ends: 504 if an endpoint was sent the call, since it may have run, else 503, which says that it hasn't. Streams that have begun are still broken off.

The chat interface ends later: its server lets open requests finish for shutdown_s, then cuts; not changed.

--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -107,7 +107,7 @@
             rank=req.rank,
             after_event_number=execution.last_event_number,
         )
-        self.sent = True
+        self.sent = execution.trace.sent = True
         ctx.quarantine.started(self.endpoint, req.fingerprint)
         self._unanswered = True
         execution.runs += 1
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -183,10 +183,11 @@
 
     ``attempts`` holds the log fields of each attempt. ``first_event_s`` is the time
     from receiving the call to its first event, in seconds; ``events`` counts the events
-    passed on to the caller.
+    passed on to the caller. ``sent`` says whether an endpoint was sent the call.
     """
 
     attempts: list[dict] = field(default_factory=list)
+    sent: bool = False
     first_event_s: float | None = None
     events: int = 0
     route: str = ""
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -167,7 +167,8 @@
             self.ctx, self.store, self.feeds, self.release_controller, self.trials
         )
         self.fleet.changes.subscribe(self._handle_fleet_change)
-        self.caller_server = self._build_server(CallHandler(self.ctx))
+        self._calls = CallHandler(self.ctx)
+        self.caller_server = self._build_server(self._calls)
         self.directory = self._build_server(
             DirectoryHandler(
                 self.addresses,
@@ -205,7 +206,8 @@
 
         ``now`` is the time of SIGTERM, from which the platform waits ``grace_s``
         seconds. New calls are still accepted in the first part of that time, because
-        callers may use a cached list of nodes.
+        callers may use a cached list of nodes. Calls that last longer are answered
+        with an error, but for streams that have begun, which are broken off.
         """
         grace_s = self.settings.promises.grace_s
         end_at = now + grace_s - STOP_MARGIN_S
@@ -225,6 +227,8 @@
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         logger.bind(cut=self.caller_server.busy_connections).info("stopped")
+        self._calls.end_open_calls()
+        await asyncio.sleep(STOP_POLL_INTERVAL_S)  # in which their callers are answered
         await self.close()
 
     async def close(self) -> None:
--- a/knapweedhinge/platform/callers.py
+++ b/knapweedhinge/platform/callers.py
@@ -1,5 +1,6 @@
 """Request handlers of the node's ports: calls, the directory of nodes, readiness."""
 
+import asyncio
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
@@ -8,7 +9,11 @@
 
 from knapweedhinge.controllers.addresses import Address
 from knapweedhinge.core.codes import ResultCode, RunState
-from knapweedhinge.core.exceptions import KnapweedhingeError
+from knapweedhinge.core.exceptions import (
+    EndpointError,
+    KnapweedhingeError,
+    RefusedError,
+)
 from knapweedhinge.filters.relay import (
     RELAY_CHAIN,
     RelayAnswer,
@@ -39,30 +44,50 @@
         for stage in reversed(RELAY_CHAIN):
             handler = stage(ctx, handler)
         self._chain = handler
+        self._open: set[asyncio.Timeout] = set()
+
+    def end_open_calls(self) -> None:
+        """End the calls that are not answered yet; their callers are told so."""
+        now = asyncio.get_running_loop().time()
+        for scope in self._open:
+            scope.reschedule(now)
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one request and log how the call ended."""
         trace = CallTrace()
         code, outcome = ResultCode.OK, ""
+        scope = asyncio.timeout(None)
         try:
-            call = call_of(exchange)
-            trace.session = call.session
-            answer = await self._chain(call, exchange.received_at, trace)
-            if isinstance(answer, RelayAnswer):
-                exchange.respond(answer.status, answer.headers, answer.body)
-                outcome = str(answer.status)
-            else:
-                await self._stream(exchange, answer)
-                outcome = str(answer.status)
+            async with scope:
+                self._open.add(scope)
+                outcome = str(await self._answer(exchange, trace))
         except KnapweedhingeError as exc:
             code = exc.code
             outcome = self._respond_error(exchange, exc)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            exc = stopped_error(trace)
+            code = exc.code
+            outcome = self._respond_error(exchange, exc)
         except BaseException as exc:
             outcome = f"ended by {type(exc).__name__}"
             raise
         finally:
+            self._open.discard(scope)
             self._log(exchange, trace, code, outcome)
 
+    async def _answer(self, exchange: Exchange, trace: CallTrace) -> int:
+        """Answer one request; return the status."""
+        call = call_of(exchange)
+        trace.session = call.session
+        answer = await self._chain(call, exchange.received_at, trace)
+        if isinstance(answer, RelayAnswer):
+            exchange.respond(answer.status, answer.headers, answer.body)
+        else:
+            await self._stream(exchange, answer)
+        return answer.status
+
     async def _stream(self, exchange: Exchange, answer: RelayStream) -> None:
         events = answer.events
         try:
@@ -126,6 +151,16 @@
         ).info("call ended")
 
 
+def stopped_error(trace: CallTrace) -> KnapweedhingeError:
+    """Return the error for a call that the node can't finish before it stops."""
+    if not trace.sent:
+        return RefusedError(code=ResultCode.LEAVING)
+    return EndpointError(
+        "the node stopped before the endpoint had answered",
+        code=ResultCode.ENDPOINT_TIMEOUT,
+    )
+
+
 class DirectoryHandler:
     """Handler that tells callers the addresses of the nodes.
 
