Blame no sound part that comes with the part that crashes engines

Sound calls were refused for seconds while engines crashed: a part of the same prompts, or one in flight beside them, had as many crashes as the part at fault and was blamed in its place, which also hid the latter.

Cause: of parts with equally many crashes the first by name was taken, and only what all calls with that part share was refused with it. A sound part is in other calls too, so the combination shrank to the sound part.

Of equal parts the one answered longest ago comes first, then that of the most calls; and all parts are blamed together that come with it in some call of each of its crashes. A call is refused only if its prompt has all of them, so that sound calls clear the sound part.

Evidence: the cases "equal crashes, ..." of test_which_parts_are_blamed; the first and second failed before.

--- a/knapweedhinge/routing/promptquarantine.py
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -48,6 +48,11 @@
     def parts(self) -> frozenset[str]:
         return frozenset(part for call in self.calls for part in call.parts)
 
+    def parts_beside(self, part: str) -> frozenset[str]:
+        """Return the parts of all calls that contain this one."""
+        calls = (call.parts for call in self.calls if part in call.parts)
+        return frozenset(key for parts in calls for key in parts)
+
 
 class PromptQuarantine:
     """Decide which combinations of prompt parts are refused.
@@ -133,10 +138,26 @@
         for crash_id in expired:
             self._drop(crash_id)
 
+    def suspected_since(self, parts: tuple[str, ...]) -> float | None:
+        """Return when the last crash happened that suspects a part, None if none does.
+
+        A part is suspected if at least two crashes left different calls with it
+        unanswered, and no call with it was answered since. More crashes or an answer
+        may soon show whether it is at fault.
+        """
+        times = [
+            max(self._crashes[crash_id].at for crash_id in ids)
+            for part in parts
+            if len(ids := self._strikes.get(part, ())) >= MIN_CALLS
+            and self._different(part, ids) >= MIN_CALLS
+        ]
+        return max(times, default=None)
+
     def _review(self, limits: VotedLimits, now: float) -> None:
         """Find the blamed combinations, unless that was done just now.
 
-        Parts with the most crashes come first, of equal ones that answered longest ago.
+        Parts with the most crashes come first, of equal ones that answered longest ago,
+        then that of the most calls.
         """
         if now - self._reviewed_at <= REVIEW_INTERVAL_S:
             return
@@ -144,25 +165,48 @@
         self._reviewed_at = now
         ranked = sorted(
             (part for part, ids in self._strikes.items() if len(ids) >= STRIKES),
-            key=lambda part: (-len(self._strikes[part]), self._last_answer(part), part),
+            key=lambda part: (
+                -len(self._strikes[part]),
+                self._last_answer(part),
+                -self._different(part, self._strikes[part]),
+                part,
+            ),
         )
         blamed, explained = [], set()
         for part in ranked:
             unexplained = self._strikes[part] - explained
-            calls = [
-                call
-                for crash_id in unexplained
-                for call in self._crashes[crash_id].calls
-                if part in call.parts
-            ]
-            different = len({call.fingerprint for call in calls})
-            if len(unexplained) < self._needed(part, now) or different < MIN_CALLS:
+            if (
+                len(unexplained) < self._needed(part, now)
+                or self._different(part, unexplained) < MIN_CALLS
+            ):
                 continue
-            shared = frozenset.intersection(*(frozenset(call.parts) for call in calls))
-            blamed.append(frozenset(key for key in shared if key in self._strikes))
+            blamed.append(self._companions(part, unexplained))
             explained |= self._strikes[part]
         self._blamed, self._explained = tuple(blamed), frozenset(explained)
 
+    def _companions(self, part: str, crash_ids: set[str]) -> frozenset[str]:
+        """Return a part and all that come with it in some call of each crash.
+
+        Parts that were answered since are left out.
+        """
+        common = frozenset.intersection(
+            *(self._crashes[crash_id].parts_beside(part) for crash_id in crash_ids)
+        )
+        return frozenset(
+            key for key in common if crash_ids <= self._strikes.get(key, set())
+        )
+
+    def _different(self, part: str, crash_ids) -> int:
+        """Return how many different calls with a part these crashes left unanswered."""
+        return len(
+            {
+                call.fingerprint
+                for crash_id in crash_ids
+                for call in self._crashes[crash_id].calls
+                if part in call.parts
+            }
+        )
+
     def _needed(self, part: str, now: float) -> int:
         if now - self._last_answer(part) <= RECENT_ANSWER_S:
             return STRIKES_AFTER_RECENT_ANSWER
--- a/tests/routing/test_promptquarantine.py
+++ b/tests/routing/test_promptquarantine.py
@@ -88,6 +88,21 @@
         "e",
         True,
     ),
+    "equal crashes, but answered before": (
+        ((0.5, "a"), *(crash(n, f"{n}:ad", f"{n}0:a") for n in (31, 32, 33))),
+        "ax",
+        False,
+    ),
+    "equal crashes, never alone": (
+        tuple(crash(n, f"{n}:ad", f"{n}0:a") for n in (1, 2, 3)),
+        "ax",
+        False,
+    ),
+    "equal crashes, together": (
+        tuple(crash(n, f"{n}:ad", f"{n}0:a") for n in (1, 2, 3)),
+        "axd",
+        True,
+    ),
     "recently answered before": (((0, "d"), *THREE), "d", False),
     "recently answered, five crashes": (
         ((0, "d"), *(crash(n, f"{n}:d") for n in range(1, 6))),
@@ -156,7 +171,7 @@
         beside = (
             (f"w{rng.randrange(3)}", f"n{rng.randrange(20)}") for _ in range(in_flight)
         )
-        calls = [parts, *beside]
+        calls = [parts, *(c for c in beside if not prompts.blamed(c, LIMITS, now))]
         unanswered = frozenset(
             UnansweredCall(f"{number}.{index}", prompts.suspects(call, now))
             for index, call in enumerate(calls)
