Hold suspects for a moment instead of crashing engines with all of them

A call one of whose parts two crashes suspect (by different calls, without an answer since) now waits 0.05 to 0.2 of its route's objective before it is sent, at random, until the part is cleared or blamed. The first of them to go on shows it for the others. For 0.3 s after a crash a blame may still be lifted by the answers of calls that several engines lost at once, so that calls are held rather than refused for that time; later they are refused at once.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -137,6 +137,10 @@
             entries = QuarantineEntries(answered_parts=(part,))
             self._publish(f"part/{part}", entries)
 
+    def suspected_since(self, parts: tuple[str, ...]) -> float | None:
+        """Return when parts of a prompt were last suspected of a crash, None if not."""
+        return self._prompts.suspected_since(parts)
+
     def blamed_parts(
         self, parts: tuple[str, ...], limits: VotedLimits, now: float
     ) -> frozenset[str]:
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -13,7 +13,7 @@
 from knapweedhinge.filters.relay.admit import recheck_admission
 from knapweedhinge.filters.relay.evidence import AttemptObservation
 from knapweedhinge.filters.relay.placing import prompt_block_hashes, select_endpoint
-from knapweedhinge.filters.relay.screen import refuse_quarantined
+from knapweedhinge.filters.relay.screen import hold_suspect, refuse_quarantined
 from knapweedhinge.filters.relay.types import AnswerHead, AttemptParameters, HeadVerdict
 from knapweedhinge.http1 import (
     AnswerBrokenError,
@@ -400,6 +400,7 @@
     The head of the answer has been read. Raise EndpointError if the attempt failed,
     and RefusedError if no endpoint may take the call.
     """
+    await hold_suspect(execution.ctx, execution.req)
     blocks = prompt_block_hashes(execution)
     placement = await select_endpoint(execution, blocks)
     attempt = RelayAttempt(execution, placement.chosen.endpoint, blocks)
--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -15,7 +15,7 @@
 from knapweedhinge.core.exceptions import EndpointError, RefusedError
 from knapweedhinge.filters.relay.attempt import RelayAttempt, open_attempt
 from knapweedhinge.filters.relay.placing import expected_queueing_delay_s
-from knapweedhinge.filters.relay.screen import refuse_quarantined, shared_parts
+from knapweedhinge.filters.relay.screen import shared_parts
 from knapweedhinge.filters.relay.types import (
     AnyRelayAnswer,
     CallTrace,
@@ -70,7 +70,6 @@
         trace.service = service
         req = replace(req, service=service)
         req = replace(req, shared_parts=shared_parts(req))
-        refuse_quarantined(self._ctx, req, self._ctx.clock())
         self._ctx.budget.record_first_send(service, self._ctx.clock())
         in_trial = await self._ctx.trials.joins(service, call.session, call.request_id)
         return await CallExecution(self._ctx, req, trace, in_trial).answer()
--- a/knapweedhinge/filters/relay/screen.py
+++ b/knapweedhinge/filters/relay/screen.py
@@ -1,5 +1,6 @@
 """Refuse calls that repeatedly crashed the endpoints that ran them."""
 
+import asyncio
 from dataclasses import replace
 
 from knapweedhinge.core.codes import ResultCode
@@ -18,6 +19,13 @@
 # Retry-After of a quarantined call, in seconds. The call is accepted again once the
 # evidence against it has expired, after ``quarantine_s``.
 RETRY_AFTER_S = 60.0
+# Shortest and longest time for which a suspect is held, as fractions of the route's
+# latency objective. They differ so that not all suspects go on at once.
+HOLD_FRACTIONS = (0.05, 0.2)
+HOLD_CHECK_S = 0.02  # between two looks at the evidence
+SETTLING_S = (
+    0.3  # after a crash, in which answers may still clear the parts it suspects
+)
 MAX_MESSAGE_CHARS = 200  # callers name the parts of their prompts as they like
 
 
@@ -65,6 +73,24 @@
         )
 
 
+async def hold_suspect(ctx: RelayContext, req: RelayRequest) -> None:
+    """Hold a call back while it is open whether its prompt crashes endpoints.
+
+    Of several such calls, one that is held for a short time shows it for the others.
+    Raise RefusedError if its parts are blamed. Parts that many calls left unanswered
+    share when several endpoints crash at once are cleared within ``SETTLING_S``.
+    """
+    hold_s = ctx.rng.uniform(*HOLD_FRACTIONS) * req.route.objective_s
+    until = min(req.deadline_at, ctx.clock() + hold_s)
+    while (since := ctx.quarantine.suspected_since(req.shared_parts)) is not None:
+        now = ctx.clock()
+        if now >= until or now - since >= SETTLING_S:
+            refuse_quarantined(ctx, req, now)
+        if now >= until:
+            return
+        await asyncio.sleep(HOLD_CHECK_S)
+
+
 def shared_parts(req: RelayRequest) -> tuple[str, ...]:
     """Return the keys of the prompt's parts but the last, which is the call's own."""
     return tuple(part_key(req.service, part.id) for part in req.call.parts[:-1])
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -1,9 +1,13 @@
 """Calls that crash endpoints are recognised, told to peers and refused."""
 
 import asyncio
+import time
 
 import pytest
 
+from knapweedhinge.filters.relay.screen import HOLD_FRACTIONS
+from knapweedhinge.routing.load import EndpointView
+from knapweedhinge.routing.promptquarantine import part_key
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import (
     World,
@@ -173,3 +177,25 @@
         reply = await exchange(second.caller_server.port, tainted(99))
     assert reply.status == 503
     assert crashes(replicas) == crashed <= 5
+
+
+async def test_a_sound_call_with_a_suspected_part_is_held_for_a_moment_only_once():
+    replicas = engines(2)
+    async with World(replicas, catalog()) as world:
+        quarantine, now = world.node.ctx.quarantine, world.node.clock()
+        for number in range(2):
+            gone = EndpointView(f"gone-{number}", "", "a", "here", incarnation="1")
+            parts = (part_key("engine", "aa"),)
+            quarantine.broke_off(gone, f"call {number}", now, parts)
+            quarantine.crashed(gone, world.node.ctx.limits, now)
+        assert quarantine.suspected_since(parts) == now
+        times = []
+        for number in range(2):
+            began = time.monotonic()
+            reply = await world.ask(sound(number))
+            times.append(time.monotonic() - began)
+            assert (reply.status, reply.whole) == (200, True)
+        assert quarantine.suspected_since(parts) is None
+    longest = max(HOLD_FRACTIONS) * 1.0  # of the objective of the route, in seconds
+    assert 0.05 <= times[0] < longest + 0.1
+    assert times[1] < 0.05
