Take JSON that is nested too deeply for malformed everywhere

The same fault as in endpoints' records, looked for elsewhere: msgspec raises RecursionError for deep nesting, which handlers of malformed data don't catch. It happens for completions and events of engines, whose callers got 500 instead of another attempt, for answers of the platform's services and for operators' requests. Callers' chat requests were handled already (tests/http/test_bounds).

All of them use decode_json, or catch RecursionError where a decoder is kept.

--- a/knapweedhinge/backing/channel.py
+++ b/knapweedhinge/backing/channel.py
@@ -19,6 +19,7 @@
 from knapweedhinge.core.bodies import read_body
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.core.exceptions import PlatformError, PlatformUnavailableError
+from knapweedhinge.core.jsondecode import decode_json
 
 BASE_BACKOFF_S = 0.02  # the pause after attempt n is at most 2**n times this
 MAX_BACKOFF_S = 0.5  # longest pause before a retry
@@ -49,7 +50,7 @@
         Raises PlatformError PLATFORM_PROTOCOL if the body doesn't have that form.
         """
         try:
-            return msgspec.json.decode(self.body, type=expected_type)
+            return decode_json(self.body, expected_type)
         except msgspec.MsgspecError as exc:
             raise PlatformError(
                 f"malformed response: {exc}", code=ResultCode.PLATFORM_PROTOCOL
--- a/knapweedhinge/endpoints/engine.py
+++ b/knapweedhinge/endpoints/engine.py
@@ -14,6 +14,7 @@
 from knapweedhinge.core.bodies import read_body
 from knapweedhinge.core.codes import ResultCode, RunState
 from knapweedhinge.core.exceptions import EndpointError
+from knapweedhinge.core.jsondecode import decode_json
 from knapweedhinge.endpoints.responses import REFUSALS
 from knapweedhinge.endpoints.types import (
     EndpointStatus,
@@ -142,7 +143,7 @@
                 f"{endpoint.url}{STATUS_PATHS[endpoint.kind]}", timeout=timeout
             ) as resp:
                 await raise_for_failure(resp)
-                status = msgspec.json.decode(await read_body(resp), type=_Status)
+                status = decode_json(await read_body(resp), _Status)
         except CONNECTION_LOST_ERRORS as exc:
             raise connection_lost_error(endpoint, exc) from exc
         except msgspec.MsgspecError as exc:
@@ -247,7 +248,7 @@
     Raise EndpointError if the answer is incomplete or belongs to another request.
     """
     try:
-        completion = msgspec.json.decode(body, type=_Completion)
+        completion = decode_json(body, _Completion)
     except msgspec.MsgspecError as exc:
         raise EndpointError(
             "the answer is not a valid chat completion",
--- a/knapweedhinge/endpoints/sse.py
+++ b/knapweedhinge/endpoints/sse.py
@@ -135,7 +135,7 @@
             position = int(event[len(self._prefix) : data_at])
             data = event[data_at + len(DATA_FIELD) :]
             chunk = None if data == END_MARKER else _decode_chunk(data)
-        except (ValueError, msgspec.MsgspecError) as exc:
+        except (ValueError, msgspec.MsgspecError, RecursionError) as exc:
             raise EndpointError(
                 "an event is malformed", code=ResultCode.STREAM_BROKEN
             ) from exc
--- a/knapweedhinge/http/operators.py
+++ b/knapweedhinge/http/operators.py
@@ -11,6 +11,7 @@
 from knapweedhinge.controllers.governance import Governance
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.core.exceptions import CallerError
+from knapweedhinge.core.jsondecode import decode_json
 from knapweedhinge.filters import Context
 from knapweedhinge.filters.admit import ensure_serving
 from knapweedhinge.filters.authenticate import (
@@ -123,7 +124,7 @@
         """Return the JSON object in a request's body; raise CallerError without one."""
         data = await read_body(raw, self._ctx.settings.http)
         try:
-            return msgspec.json.decode(data, type=dict)
+            return decode_json(data, dict)
         except msgspec.ValidationError as exc:
             raise CallerError(str(exc)) from exc
         except msgspec.DecodeError as exc:
