Obey endpoints that say that they leave, or when they want calls again

An endpoint that says it leaves gets no new calls from then on, until its record names another process; a record that was written before doesn't revive it. After a refusal with Retry-After (503 or 429) the endpoint is left out until then, 60 s at most, also by calls that wait for a connection. If all endpoints asked for a pause, callers are told the time of the first that ends. Anything but a decimal number asks for nothing.

--- a/knapweedhinge/controllers/fleet.py
+++ b/knapweedhinge/controllers/fleet.py
@@ -22,6 +22,7 @@
 # Seconds an endpoint is kept after its record lapsed during a store outage. Live
 # endpoints write their records again within about this time of the store's return.
 LAPSED_GRACE_S = 2.0
+MAX_LEAVING = 1024  # endpoints of which it is remembered that they said they leave
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +71,14 @@
     lapsed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLeaving:
+    """An endpoint's process said in an answer that it leaves."""
+
+    endpoint_id: str
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class DomainOut:
     """A failure domain was taken out of service and must get no more calls."""
@@ -176,6 +185,17 @@
     return replace(view, endpoints=view.endpoints.replace(seen))
 
 
+@fold.register
+def _(event: EndpointLeaving, view: FleetView) -> FleetView:
+    known = view.endpoints.by_id.get(event.endpoint_id)
+    if known is None or known.incarnation != event.incarnation:
+        return view
+    if known.state is EndpointState.LEAVING:
+        return view
+    leaving = replace(known, state=EndpointState.LEAVING)
+    return replace(view, endpoints=view.endpoints.replace(leaving))
+
+
 @fold.register
 def _(event: EndpointGone, view: FleetView) -> FleetView:
     if event.endpoint_id not in view.endpoints.by_id:
@@ -250,6 +270,8 @@
         self._first_catalog = asyncio.Event()
         self._cold: dict[str, ColdEndpoint] = {}
         self._lapsed: dict[str, float] = {}
+        # Incarnations of endpoints that said in an answer that they leave, by id.
+        self._leaving: dict[str, str] = {}
 
     def apply(self, event, now: float) -> bool:
         """Apply an event and return whether it led to a new view.
@@ -263,7 +285,12 @@
             return False
         before = self.view
         known = None
+        if isinstance(event, EndpointLeaving):
+            self._leaving[event.endpoint_id] = event.incarnation
+            if len(self._leaving) > MAX_LEAVING:
+                del self._leaving[next(iter(self._leaving))]
         if isinstance(event, EndpointSeen):
+            event = self._still_leaving(event)
             known = before.endpoints.by_id.get(event.record.id)
             self._lapsed.pop(event.record.id, None)
             self._note_cold_record(event.record, known, now)
@@ -280,6 +307,16 @@
         self.changes.on_next(event)
         return True
 
+    def _still_leaving(self, event: EndpointSeen) -> EndpointSeen:
+        """Return a record as that of a leaving endpoint if its process said so.
+
+        The record may have been written before the answer.
+        """
+        record = event.record
+        if self._leaving.get(record.id) != record.born:
+            return event
+        return EndpointSeen(replace(record, leaving=True))
+
     async def wait_for_catalog(self, longest_s: float) -> None:
         """Wait for the first catalog, but at most ``longest_s`` seconds."""
         try:
--- a/knapweedhinge/controllers/healthtracker.py
+++ b/knapweedhinge/controllers/healthtracker.py
@@ -1,5 +1,7 @@
 """Track the health of endpoints from the calls sent to them (circuit breaking)."""
 
+from dataclasses import replace
+
 from loguru import logger
 
 from knapweedhinge.routing.endpointhealth import (
@@ -62,6 +64,16 @@
         health = self.healths.get(endpoint_id, HEALTHY)
         self._set(endpoint_id, failed(health, now, unreachable=unreachable), now)
 
+    def asked_to_wait(self, endpoint_id: str, pause_s: float, now: float) -> None:
+        """Note that an endpoint wants no calls for ``pause_s`` seconds."""
+        health = self.healths.get(endpoint_id, HEALTHY)
+        wait_until = max(health.wait_until, now + pause_s)
+        self._set(endpoint_id, replace(health, wait_until=wait_until), now)
+
+    def waits(self, endpoint_id: str, now: float) -> bool:
+        """Return whether an endpoint asked for a pause that is not over."""
+        return now < self.healths.get(endpoint_id, HEALTHY).wait_until
+
     def forget(self, endpoint_id: str) -> None:
         """Drop the health of an endpoint that was removed."""
         self.healths.pop(endpoint_id, None)
@@ -75,7 +87,7 @@
             logger.bind(
                 endpoint=endpoint_id,
                 in_row=health.in_row,
-                pause_s=round(health.paused_until - now, 3),
+                pause_s=round(max(health.paused_until, health.wait_until) - now, 3),
             ).warning("endpoint paused")
         elif (
             before.paused_until > float("-inf") and before.in_row and not health.in_row
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from knapweedhinge.controllers.fleet import EndpointGone
+from knapweedhinge.controllers.fleet import EndpointGone, EndpointLeaving
 from knapweedhinge.core.codes import ResultCode, RunState
 from knapweedhinge.core.exceptions import EndpointError, RefusedError
 from knapweedhinge.filters.relay.admit import recheck_admission
@@ -287,9 +287,22 @@
                 "the endpoint, its failure domain or its release was taken out of use",
                 ResultCode.NO_ENDPOINT,
             )
+        if self._ctx.health.waits(self.endpoint.id, now):
+            raise self._not_run_error(
+                "the endpoint asked for a pause", ResultCode.NO_ENDPOINT
+            )
 
     def _check_head(self) -> None:
         head = self.head
+        if head.leaving:
+            self._ctx.fleet.apply(
+                EndpointLeaving(self.endpoint.id, self.endpoint.incarnation),
+                self._ctx.clock(),
+            )
+        if head.pause_s:
+            self._ctx.health.asked_to_wait(
+                self.endpoint.id, head.pause_s, self._ctx.clock()
+            )
         if head.cold_s:
             self._ctx.fleet.note_cold_answer(
                 self.endpoint.id, head.cold_s, self._ctx.clock()
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -128,6 +128,8 @@
     ``headers`` are passed on to the caller. ``confidence`` is the model's own rating
     of its answer, 0 to 100. ``cold_s`` is how many seconds the endpoint says it still
     needs to warm up. ``names_call`` says that the answer repeats the call's id.
+    ``leaving`` says that the endpoint leaves, and ``pause_s`` how many seconds it wants
+    no calls from this node.
     """
 
     status: int
@@ -136,6 +138,8 @@
     confidence: int | None = None
     cold_s: float = 0.0
     names_call: bool = True
+    leaving: bool = False
+    pause_s: float = 0.0
 
     @property
     def good(self) -> bool:
--- a/knapweedhinge/platform/headers.py
+++ b/knapweedhinge/platform/headers.py
@@ -1,5 +1,6 @@
 """Conversion of HTTP headers from callers and endpoints into calls and answers."""
 
+import re
 from collections.abc import Callable
 
 import xxhash
@@ -17,6 +18,7 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 MS_PER_S = 1_000
+DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 REQUEST_ID = b"knapweedhinge-request-id"
 # Remaining time in milliseconds, not a point in time.
@@ -40,11 +42,15 @@
 REQUEST_PRIORITY = b"knapweedhinge-request-priority"  # 0 to 9, 0 the highest
 CONFIDENCE = b"knapweedhinge-confidence"  # of the model in its answer, 0 to 100
 COLD_MS = b"knapweedhinge-cold-ms"  # how long the endpoint remains cold, milliseconds
+LEAVING = b"server-leaving"  # "1" in all answers of an endpoint that leaves
+RETRY_AFTER = b"retry-after"
+MAX_PAUSE_S = 60.0  # longest pause that an endpoint may ask for
 AUTHORIZATION = b"authorization"
 BEARER = b"bearer "
 ANY_MODEL = "*"  # the caller leaves the choice of the model to the node
 # Statuses that tell the caller that its call has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+PAUSE_STATUSES = frozenset({429, 503})  # with Retry-After, the endpoint wants a pause
 
 # Headers that concern one connection only, or that are set anew for each attempt.
 HOP_BY_HOP = frozenset(
@@ -177,7 +183,7 @@
         says so in a header as well.
         """
         passed, stamped, not_run, echoed = [], False, False, False
-        confidence, cold_s = None, 0.0
+        confidence, cold_s, leaving, pause_s = None, 0.0, False, 0.0
         for name, value in head.headers:
             key = name.lower()
             if key in HOP_BY_HOP:
@@ -192,6 +198,10 @@
                 confidence = int(value) if value.isdigit() else None
             elif key == COLD_MS:
                 cold_s = int(value) / MS_PER_S if value.isdigit() else 0.0
+            elif key == LEAVING:
+                leaving = value.strip() == b"1"
+            elif key == RETRY_AFTER and head.status in PAUSE_STATUSES:
+                pause_s = _pause_s(value)
             passed.append((name, value))
         verdict = HeadVerdict.ANSWER
         if head.status == 421:
@@ -203,10 +213,25 @@
         elif head.status in NOT_RUN_STATUSES:
             verdict = HeadVerdict.UNPROVEN
         return AnswerHead(
-            head.status, tuple(passed), verdict, confidence, cold_s, names_call=echoed
+            head.status,
+            tuple(passed),
+            verdict,
+            confidence,
+            cold_s,
+            names_call=echoed,
+            leaving=leaving,
+            pause_s=pause_s,
         )
 
 
+def _pause_s(value: bytes) -> float:
+    """Return the seconds in a Retry-After header, 0 if it holds none."""
+    text = value.strip()
+    if not DECIMAL.fullmatch(text):
+        return 0.0
+    return min(MAX_PAUSE_S, float(text))
+
+
 def _host(found: dict[bytes, bytes]) -> str:
     host = found.get(b"host", b"").decode("latin-1").strip().lower()
     name, colon, port = host.rpartition(":")
--- a/knapweedhinge/routing/endpointhealth.py
+++ b/knapweedhinge/routing/endpointhealth.py
@@ -33,7 +33,8 @@
     """The outcomes of this node's calls to one endpoint.
 
     ``failed`` and ``ended`` are decaying counts of calls as of ``at``, ``in_row`` the
-    number of consecutive failures. ``slowness`` is a moving average of the times to the
+    number of consecutive failures. The endpoint asked for no calls until
+    ``wait_until``. ``slowness`` is a moving average of the times to the
     first piece of an answer, as multiples of the typical time of such calls. Times are
     seconds on the node's monotonic clock.
     """
@@ -43,6 +44,7 @@
     at: float = 0.0
     in_row: int = 0
     paused_until: float = float("-inf")
+    wait_until: float = float("-inf")
     slowness: float = 1.0
 
     def decayed(self, now: float) -> "Health":
@@ -105,7 +107,7 @@
 
 def is_paused(health: Health, now: float) -> bool:
     """Return whether no calls may be sent to the endpoint at present."""
-    return now < health.paused_until
+    return now < max(health.paused_until, health.wait_until)
 
 
 Healths = Mapping[str, Health]
--- a/knapweedhinge/routing/placement.py
+++ b/knapweedhinge/routing/placement.py
@@ -168,7 +168,9 @@
             f"{len(eligible)} endpoints with free connections, "
             f"{len(admitted)} of them not limited by a cold start, none answering"
         )
-        return NoPlacement(ResultCode.NO_ENDPOINT, RETRY_AFTER_S, reason)
+        return NoPlacement(
+            ResultCode.NO_ENDPOINT, _retry_after_s(admitted, view, now), reason
+        )
     preferred = _preferred_engine(unpaused, req)
     sampled = _sample(unpaused, preferred, req, view, rng)
     delays = [
@@ -179,6 +181,17 @@
     return Placement(best)
 
 
+def _retry_after_s(
+    endpoints: list[EndpointView], view: PlacementView, now: float
+) -> float:
+    """Return when the first of these endpoints may take calls that it asked to wait."""
+    waits = (
+        view.healths.get(endpoint.id, HEALTHY).wait_until - now
+        for endpoint in endpoints
+    )
+    return max(RETRY_AFTER_S, min(waits, default=0.0))
+
+
 def _may_be_used(endpoint: EndpointView, view: PlacementView) -> bool:
     """Return whether the endpoint, its failure domain and its release are in use."""
     if endpoint.state is not EndpointState.LIVE:
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -47,6 +47,8 @@
       the connection.
     - ``close_in_head``: close in an orderly way after this many bytes of the head.
     - ``close_after``: close in an orderly way after this many bytes of a stream.
+    - ``leaving``: say in all answers that this endpoint leaves.
+    - ``retry_after``: with ``refuse``, the seconds for which it wants no calls.
     - ``crash_body``: crash when a call with this body begins to run.
     - ``crash_part``: crash when a call whose prompt contains the part with this id
       begins to run.
@@ -74,6 +76,8 @@
     until_close: bool = False
     close_in_head: int | None = None
     close_after: int | None = None
+    leaving: bool = False
+    retry_after: str = ""
     crash_body: bytes | None = None
     crash_part: bytes | None = None
 
@@ -153,7 +157,10 @@
             self.refused.append(exchange)
             await asyncio.sleep(self.faults.late_s)
             self._refusals[exchange._connection] = REFUSAL
-            exchange.respond(503, ((b"Knapweedhinge-Not-Executed", b"1"),), b"")
+            headers = [(b"Knapweedhinge-Not-Executed", b"1")]
+            if self.faults.retry_after:
+                headers.append((b"Retry-After", self.faults.retry_after.encode()))
+            exchange.respond(503, (*headers, *self._leaving_headers()), b"")
             return
         self.calls.append(exchange)
         if self.faults.repeat_refusal:
@@ -203,7 +210,10 @@
         if model in self.confidence:
             confidence = b"%d" % self.confidence[model]
             headers.append((b"Knapweedhinge-Confidence", confidence))
-        return tuple(headers)
+        return (*headers, *self._leaving_headers())
+
+    def _leaving_headers(self) -> tuple:
+        return ((b"Server-Leaving", b"1"),) if self.faults.leaving else ()
 
     def _respond_whole(self, exchange: Exchange, headers: tuple) -> None:
         body = b"%s %s" % (self.id.encode(), exchange.body)
