Freeze a node only once its claim has reached the platform

Cause, in the test: it froze the node 0.25 s after the call was sent, and took for granted that the claim was on its way.

The platform's stand-in tells the rows of writes that it has received, also of those that it still delays, and the step waits for the claim's. The step now checks what its name says, at any speed of the machine.

--- a/knapweedhinge/test/platform_services.py
+++ b/knapweedhinge/test/platform_services.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import zlib
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, fields
 
@@ -20,6 +20,7 @@
 MAX_PAGE_ITEMS = 1_000  # rows, object names or ratings in one answer
 DEFAULT_QUALITY = 0.8  # share of the answers of a version that are rated 1.0
 BYTES_PER_MIB = 1024 * 1024
+MAX_RECEIVED_ROWS = 1_000  # of the newest writes that are remembered
 
 
 @dataclass
@@ -76,7 +77,8 @@
     """State and HTTP handlers of all services.
 
     ``reads`` and ``writes`` count rows by table, a scan as one read; ``calls`` counts
-    HTTP requests by method and path.
+    HTTP requests by method and path. ``received_rows`` holds table and key of the
+    newest writes that arrived, also of those that wait or are refused.
     """
 
     def __init__(self, clock: Callable[[], float], faults: Faults):
@@ -87,6 +89,7 @@
         self.reads: Counter[str] = Counter()
         self.writes: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
+        self.received_rows: deque[tuple[str, str]] = deque(maxlen=MAX_RECEIVED_ROWS)
         self._clock = clock
         # Each VM list with the time from which ``vm_lag_s`` is counted, oldest first.
         self._vm_lists: list[tuple[float, tuple[Vm, ...]]] = [(clock(), ())]
@@ -198,8 +201,15 @@
         return _json({"ratings": page, "cursor": str(start + len(page))})
 
     async def show_calls(self, req: web.Request) -> web.Response:
-        """Return the counts of reads and writes by table, and of calls by path."""
-        return _json({"reads": self.reads, "writes": self.writes, "calls": self.calls})
+        """Return the counts of reads, writes and calls, and the rows of writes."""
+        return _json(
+            {
+                "reads": self.reads,
+                "writes": self.writes,
+                "calls": self.calls,
+                "received_rows": list(self.received_rows),
+            }
+        )
 
     async def post_faults(self, req: web.Request) -> web.Response:
         """Change fault switches and return all of them."""
@@ -220,6 +230,11 @@
         if req.path.startswith("/standin/"):
             return await handler(req)
         self.calls[f"{req.method} {req.path}"] += 1
+        if req.path.endswith("/tables/write"):
+            received = msgspec.json.decode(await req.read(), type=_WriteRequest)
+            self.received_rows.extend(
+                (write.table, write.key) for write in received.writes
+            )
         if self.faults.slow_s:
             await asyncio.sleep(self.faults.slow_s)
         if self.faults.outage:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -315,6 +315,11 @@
         async with self.http.get(url) as resp:
             return (await resp.json())["calls"]
 
+    async def platform_calls(self) -> dict:
+        """Return the platform's counts of calls, and the rows of writes it received."""
+        async with self.http.get(f"{self.platform_url}/standin/calls") as resp:
+            return await resp.json()
+
     async def set_faults(self, url: str, **faults) -> None:
         """Set fault switches of the stand-in at ``url``."""
         async with self.http.post(f"{url}/standin/faults", json=faults) as resp:
--- a/tests/scenarios/test_at_most_once.py
+++ b/tests/scenarios/test_at_most_once.py
@@ -13,13 +13,11 @@
 from pytest_bdd import given, scenarios, then, when
 from pytest_bdd.parsers import parse
 
+from knapweedhinge.controllers.claims import CLAIMS_TABLE
 from tests.processes import eventually
 
 ALL_CALLS = 1_000  # more calls than a scenario makes, so that a fault hits all
 MS_PER_S = 1_000
-# From sending a call: by then a node is writing the claim and, if the platform is slow,
-# has no answer to the write yet.
-CLAIM_WRITE_STARTED_S = 0.25
 pytestmark = pytest.mark.usefixtures("world")
 scenarios("at_most_once.feature")
 
@@ -36,6 +34,12 @@
         world.run(world.fault(endpoint_id, **faults))
 
 
+async def claims_received(world) -> set[str]:
+    """Return the keys of the claims whose writes the platform received."""
+    counts = await world.cluster.platform_calls()
+    return {key for table, key in counts["received_rows"] if table == CLAIMS_TABLE}
+
+
 @given(parse("the platform loses the answers to its next {count:d} writes"))
 def _(world, count):
     world.run(world.platform_fault(lose_writes=count))
@@ -130,9 +134,17 @@
 
 @when("a node is frozen while it writes its claim")
 def _(world, context, key):
+    before = set()
+
+    async def is_claim_received():
+        return await claims_received(world) - before
+
     async def ask():
+        nonlocal before
+        before = await claims_received(world)
         context["task"] = asyncio.create_task(world.run_once(key))
-        await asyncio.sleep(CLAIM_WRITE_STARTED_S)
+        # The platform has received the write and, being slow, has not answered it.
+        await eventually(is_claim_received)
         world.node(0).signal(signal.SIGSTOP)
 
     world.run(ask())
