--- a/tests/platform/test_starting.py
+++ b/tests/platform/test_starting.py
@@ -19,7 +19,7 @@
 
 # Two tables, the peers' key, the roster row and two pages of contacts; then long polls
 # until a reader is heard.
-MAX_CALLS_PER_NODE = 10
+MAX_CALLS_PER_NODE = 6
 READERS = 3
 FOLLOWED_TABLES = 2
 REGISTRATIONS = 40
