Send no calls to endpoints that this node or a peer has just seen crash

Sound callers waited while their calls were sent to engines that had crashed: each node found out by itself, by refused connections, and each refused one used up one of a call's four attempts.

An endpoint that restarts under its id is taken for a new one, whose health starts anew.

Evidence: test_no_node_tries_an_endpoint_that_a_peer_saw_crash_until_it_is_back failed before.

--- a/knapweedhinge/controllers/healthtracker.py
+++ b/knapweedhinge/controllers/healthtracker.py
@@ -6,6 +6,7 @@
 
 from knapweedhinge.routing.endpointhealth import (
     HEALTHY,
+    MAX_PAUSE_S,
     Health,
     answered,
     failed,
@@ -64,6 +65,15 @@
         health = self.healths.get(endpoint_id, HEALTHY)
         self._set(endpoint_id, failed(health, now, unreachable=unreachable), now)
 
+    def crashed(self, endpoint_id: str, at: float, now: float) -> None:
+        """Note that an endpoint's process ended ``at`` a time, seen here or by a peer.
+
+        It is paused for as long as an endpoint that could not be reached several times.
+        """
+        health = self.healths.get(endpoint_id, HEALTHY)
+        paused_until = max(health.paused_until, at + MAX_PAUSE_S)
+        self._set(endpoint_id, replace(health, paused_until=paused_until), now)
+
     def asked_to_wait(self, endpoint_id: str, pause_s: float, now: float) -> None:
         """Note that an endpoint wants no calls for ``pause_s`` seconds."""
         health = self.healths.get(endpoint_id, HEALTHY)
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -19,6 +19,8 @@
 from knapweedhinge.controllers.fleet import (
     CatalogSeen,
     EndpointGone,
+    EndpointRecord,
+    EndpointSeen,
     FleetTracker,
     ReleaseOrdered,
     ReleaseStaged,
@@ -105,6 +107,7 @@
         self._region_by_failure_domain = {
             place.failure_domain: place.region for place in settings.places
         }
+        self._incarnations: dict[str, str] = {}  # of the endpoints, by id
         # Start and task of the last crash probe, by endpoint id and incarnation.
         self._probes: dict[tuple[str, str], tuple[float, asyncio.Task]] = {}
         self._tasks = PeriodicTasks(self.rng)
@@ -332,6 +335,9 @@
     def _handle_fleet_change(self, event) -> None:
         if isinstance(event, EndpointGone):
             self.ctx.health.forget(event.endpoint_id)
+            self._incarnations.pop(event.endpoint_id, None)
+        if isinstance(event, EndpointSeen):
+            self._note_incarnation(event.record)
         if isinstance(event, ReleaseOrdered | ReleaseStaged):
             self._spawn(self.trials.report())
         log = logger.bind(revision=self._revision(), store=self.store.available)
@@ -340,6 +346,13 @@
         else:
             log.bind(news=str(event)).info("fleet changed")
 
+    def _note_incarnation(self, record: EndpointRecord) -> None:
+        """Forget the health of an endpoint's earlier process when it has restarted."""
+        known = self._incarnations.get(record.id)
+        if known is not None and known != record.born:
+            self.ctx.health.forget(record.id)
+        self._incarnations[record.id] = record.born
+
     async def _check_crash(self, endpoint: EndpointView) -> None:
         """Find out whether an endpoint's process ended while calls ran there.
 
@@ -366,7 +379,9 @@
             async with asyncio.timeout(CRASH_PROBE_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(ip, port)
         except ConnectionRefusedError:
-            crash = self.ctx.quarantine.crashed(endpoint, self.ctx.limits, self.clock())
+            now = self.clock()
+            self.ctx.health.crashed(endpoint.id, now, now)
+            crash = self.ctx.quarantine.crashed(endpoint, self.ctx.limits, now)
             log.bind(suspects=sorted(crash.fingerprints)[:MAX_LOGGED_SUSPECTS]).warning(
                 "endpoint crashed under calls"
             )
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -30,6 +30,7 @@
 from knapweedhinge.platform.feeds import Feeds, ReaderStatus
 from knapweedhinge.platform.gossip import RowGossip
 from knapweedhinge.platform.store import Store
+from knapweedhinge.routing.crashes import Crash
 
 REPORT_INTERVAL_S = 0.4  # between reports of load and of running roll-outs
 # Nodes assumed before this node has joined. Limits on the whole fleet are divided by
@@ -262,8 +263,17 @@
     def _receive_quarantine(self, entry: Entry) -> None:
         # Entries of this VM too: they may be from its process before a restart.
         update = _decode_entry(entry, QuarantineUpdate)
-        if update is not None:
-            self._ctx.quarantine.merge(update, entry.published_at)
+        if update is None:
+            return
+        self._ctx.quarantine.merge(update, entry.published_at)
+        for crash in update.entries.crashes:
+            self._pause_crashed(crash, entry.published_at)
+
+    def _pause_crashed(self, crash: Crash, at: float) -> None:
+        """Send no calls to an endpoint that a peer saw crash, unless it is back."""
+        known = self._ctx.fleet.view.endpoints.by_id.get(crash.endpoint_id)
+        if known is not None and known.incarnation == crash.incarnation:
+            self._ctx.health.crashed(known.id, at, self._ctx.clock())
 
 
 def change_fields(count: int, joined: set[str], left: set[str]) -> dict[str, Any]:
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -120,6 +120,12 @@
         """Stop listening and abort the calls that still run."""
         await self._server.stop()
 
+    async def restart(self) -> None:
+        """Listen again after a crash, on another port."""
+        self.crashed = False
+        self._server = Server(self._handle, Limits)
+        await self.start()
+
     def record(self, **fields) -> dict:
         """Return the row with which the endpoint registers in the platform's store.
 
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -6,6 +6,7 @@
 import pytest
 
 from knapweedhinge.filters.relay.screen import HOLD_FRACTIONS
+from knapweedhinge.routing.endpointhealth import is_paused
 from knapweedhinge.routing.load import EndpointView
 from knapweedhinge.routing.promptquarantine import part_key
 from knapweedhinge.test.replica import Replica
@@ -199,3 +200,27 @@
     longest = max(HOLD_FRACTIONS) * 1.0  # of the objective of the route, in seconds
     assert 0.05 <= times[0] < longest + 0.1
     assert times[1] < 0.05
+
+
+async def test_no_node_tries_an_endpoint_that_a_peer_saw_crash_until_it_is_back():
+    shops = fragile_shops()[:2]
+    shops[1].faults.crash_body = None
+    async with two_nodes(shops) as (world, second):
+        for node in (world.node, second):
+            node.ctx.loads.began("shop-1", 9.0)
+        await world.ask(request("/look/x", body=FATAL))
+        assert shops[0].crashed
+        await world.until(lambda: second.ctx.quarantine.crashes())
+        opened = second.ctx.pools.opened
+        reply = await exchange(second.caller_server.port, request("/look/x"))
+        assert reply.status == 200
+        assert is_paused(second.ctx.health.healths["shop-0"], second.clock())
+        assert second.ctx.pools.opened == opened + 1
+        await shops[0].restart()
+        world.store.put("servers", "shop-0", shops[0].record(born=2))
+        await world.until(
+            lambda: second.fleet.view.endpoints.by_id["shop-0"].incarnation == "2"
+        )
+        shops[0].calls.clear()
+        await exchange(second.caller_server.port, request("/look/x", request_id="r2"))
+    assert len(shops[0].calls) == 1
