Don't clear suspected parts by news of answers from before their crashes

Found on reading: a node that hears late of an answer, after a partition or a restart, dropped all crashes that counted against the part, also those after the answer. A part that had been answered before it began to crash engines would have been let through there.

Evidence: the case "news of an earlier answer" failed before.

--- a/knapweedhinge/routing/promptquarantine.py
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -59,9 +59,9 @@
 
     Parts are named by their keys. A part is blamed after several crashes that left
     different calls with it unanswered, if no call with it was answered in between. What
-    is refused is the combination of all parts that these calls share and that no answer
-    has cleared since, because any of them may be at fault. A crash doesn't count
-    against a part if another part with more crashes explains it.
+    is refused is its combination with all parts that came with it in each of these
+    crashes and that no answer has cleared since, because any of them may be at fault.
+    A crash doesn't count against a part if another part with more crashes explains it.
 
     All times are in seconds on the node's monotonic clock.
     """
@@ -101,18 +101,14 @@
             self._drop(next(iter(self._crashes)))
         self._reviewed_at = float("-inf")
 
-    def answered(self, parts: tuple[str, ...], now: float) -> tuple[str, ...]:
+    def answered(self, parts: tuple[str, ...], at: float) -> tuple[str, ...]:
         """Note that an engine began to answer a call with these parts.
 
-        Return those that peers may suspect, because of several crashes since the last
-        answer.
+        Crashes after the time ``at`` still count; a peer's news of an answer may come
+        later than that of a crash. Return the parts that peers may suspect, because of
+        several crashes since the answer before.
         """
-        cleared = tuple(
-            part for part in parts if len(self._strikes.pop(part, ())) >= MIN_CALLS
-        )
-        for part in parts:
-            self._answered_at[part] = now
-            self._answered_at.move_to_end(part)
+        cleared = tuple(part for part in parts if self._clear(part, at) >= MIN_CALLS)
         while len(self._answered_at) > MAX_ANSWERED:
             self._answered_at.popitem(last=False)
         if cleared:
@@ -133,11 +129,6 @@
         self._review(limits, now)
         return self._explained
 
-    def _expire(self, oldest: float) -> None:
-        expired = [key for key, crash in self._crashes.items() if crash.at <= oldest]
-        for crash_id in expired:
-            self._drop(crash_id)
-
     def suspected_since(self, parts: tuple[str, ...]) -> float | None:
         """Return when the last crash happened that suspects a part, None if none does.
 
@@ -184,6 +175,21 @@
             explained |= self._strikes[part]
         self._blamed, self._explained = tuple(blamed), frozenset(explained)
 
+    def _clear(self, part: str, at: float) -> int:
+        """Drop the crashes that count against a part until ``at``; return how many."""
+        self._answered_at[part] = max(at, self._last_answer(part))
+        self._answered_at.move_to_end(part)
+        ids = self._strikes.pop(part, set())
+        later = {crash_id for crash_id in ids if self._crashes[crash_id].at > at}
+        if later:
+            self._strikes[part] = later
+        return len(ids) - len(later)
+
+    def _expire(self, oldest: float) -> None:
+        expired = [key for key, crash in self._crashes.items() if crash.at <= oldest]
+        for crash_id in expired:
+            self._drop(crash_id)
+
     def _companions(self, part: str, crash_ids: set[str]) -> frozenset[str]:
         """Return a part and all that come with it in some call of each crash.
 
--- a/tests/routing/test_promptquarantine.py
+++ b/tests/routing/test_promptquarantine.py
@@ -50,6 +50,13 @@
     "only the sound part": ((*THREE, (4, "f")), "fx", False),
     "with another sound part": ((*THREE, crash(4, "4:gd")), "hd", True),
     "the part was answered": ((*THREE, (4, "d")), "d", False),
+    "answered, then three crashes": (
+        ((0.5, "d"), *(crash(n, f"{n}:d") for n in (31, 32, 33))),
+        "d",
+        True,
+    ),
+    "news of an earlier answer": ((*THREE, (0.5, "fd")), "fd", True),
+    "news of an answer between": ((*THREE, (2.5, "fd")), "fd", False),
     "answered, then two crashes": (
         (*THREE, (4, "fd"), crash(5, "5:d"), crash(6, "6:d")),
         "d",
