--- a/tests/routing/test_promptquarantine.py
+++ b/tests/routing/test_promptquarantine.py
@@ -1,8 +1,11 @@
 """A part of prompts that crashes engines is blamed, sound parts beside it are not."""
 
 import random
+from itertools import combinations
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from knapweedhinge.conf.cooperative import VotedLimits
 from knapweedhinge.routing.crashes import UnansweredCall
@@ -193,3 +196,42 @@
     assert part_key("a", "x") != part_key("b", "x")
     assert part_key("ab", "x") != part_key("a", "bx")
     assert RECENT_ANSWER_S > PRESUMED_SOUND_S
+
+
+PARTS = st.text("abcd", min_size=1, max_size=3)
+CALLS = st.builds(
+    lambda number, parts: UnansweredCall(str(number), tuple(sorted({*parts}))),
+    st.integers(0, 4),
+    PARTS,
+)
+CRASHES = st.tuples(
+    st.floats(0, 20), st.integers(0, 7), st.frozensets(CALLS, min_size=1, max_size=3)
+)
+ANSWERS = st.tuples(st.floats(0, 20), PARTS)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    st.lists(CRASHES, max_size=10, unique_by=lambda crash: crash[1]),
+    st.lists(ANSWERS, max_size=6),
+    st.randoms(use_true_random=False),
+)
+def test_the_order_in_which_news_arrives_does_not_matter(crashes, answers, rng):
+    news = [*crashes, *answers]
+    blames = []
+    for _ in range(2):
+        rng.shuffle(news)
+        prompts = PromptQuarantine()
+        for at, *what in news:
+            if len(what) == 2:
+                prompts.add_crash(f"e{what[0]}", what[1], at)
+            else:
+                prompts.answered(tuple(what[0]), at)
+        blames.append(
+            {
+                parts: prompts.blamed(parts, LIMITS, 100.0)
+                for size in (1, 2, 3, 4)
+                for parts in combinations("abcd", size)
+            }
+        )
+    assert blames[0] == blames[1]
