--- a/knapweedhinge/filters/relay/screen.py
+++ b/knapweedhinge/filters/relay/screen.py
@@ -23,9 +23,9 @@
 # latency objective. They differ so that not all suspects go on at once.
 HOLD_FRACTIONS = (0.05, 0.2)
 HOLD_CHECK_S = 0.02  # between two looks at the evidence
-SETTLING_S = (
-    0.3  # after a crash, in which answers may still clear the parts it suspects
-)
+# Seconds after a crash in which calls are held rather than refused, since answers may
+# still clear the parts that it suspects.
+SETTLING_S = 0.3
 MAX_MESSAGE_CHARS = 200  # callers name the parts of their prompts as they like
 
 
@@ -56,10 +56,9 @@
             for part, key in zip(req.call.parts, req.shared_parts, strict=False)
             if key in blamed
         ]
+        message = f"calls with these parts in their prompts crashed endpoints: {ids}"
         raise RefusedError(
-            f"calls with these parts in their prompts crashed endpoints: {ids}"[
-                :MAX_MESSAGE_CHARS
-            ],
+            message[:MAX_MESSAGE_CHARS],
             code=ResultCode.OVERLOADED,
             retry_after_s=RETRY_AFTER_S,
         )
@@ -76,9 +75,10 @@
 async def hold_suspect(ctx: RelayContext, req: RelayRequest) -> None:
     """Hold a call back while it is open whether its prompt crashes endpoints.
 
-    Of several such calls, one that is held for a short time shows it for the others.
-    Raise RefusedError if its parts are blamed. Parts that many calls left unanswered
-    share when several endpoints crash at once are cleared within ``SETTLING_S``.
+    Calls are held for different times, so that the first to go on shows it for the
+    others. Raise RefusedError as soon as parts of the prompt are blamed, but not within
+    ``SETTLING_S`` of a crash: when several endpoints crash at once, sound parts are
+    suspected too, until the first calls are answered elsewhere.
     """
     hold_s = ctx.rng.uniform(*HOLD_FRACTIONS) * req.route.objective_s
     until = min(req.deadline_at, ctx.clock() + hold_s)
