Add a soak of two nodes whose endpoints, store and neighbour fail in turn

Ten callers keep using open connections to two nodes, one of which is stopped as planned and replaced again and again, while up to four of eight endpoints refuse, fail, crash, reset, cut heads, bodies and streams, repeat refusals, drip or leave, and the store is busy, silent or reset. Each answer has to be the call's own, whole or seen to be broken off; calls that may run once ran once at most; those answered 'not run' haven't run; none is passed on and cut off without an answer, and none waits past its route's time.

--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,269 @@
+"""A soak: callers keep using open connections while endpoints, store and nodes fail.
+
+``python -m tests.platform.soak --seeds 50`` runs many seeds, one after the other. What
+a seed does is drawn beforehand, but its timing depends on the machine.
+"""
+
+import argparse
+import asyncio
+import logging
+import random
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from knapweedhinge.conf.relay import Promises
+from knapweedhinge.node.relay import RelayNode
+from knapweedhinge.platform.headers import NOT_RUN_STATUSES
+from knapweedhinge.test.replica import Replica, ReplicaFaults
+from knapweedhinge.test.rowstore import StoreFaults
+from tests.platform.world import Reply, World, ask_on, chat, request, two_nodes
+
+CALLERS = 10
+FAULTS = 4  # of endpoints at the same time
+REPLICAS_PER_SERVICE = 4
+GRACE_S = 2.0
+REFUSE_FIRST_S = 0.01  # in which an endpoint refuses a call or two, to repeat that
+LONGEST_CALL_S = 4.0  # the longest timeout of a route, 3 s, and a margin
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+
+SHOP_FAULTS = (
+    {"refuse": True},
+    {"refuse": True, "retry_after": "0.3"},
+    {"refuse": True, "leaving": True},
+    {"fail": True},
+    {"reset": True},
+    {"unframed": True},
+    {"until_close": True},
+    {"close_in_head": 0},
+    {"close_in_head": 17},
+    {"close_in_head": 60},
+    {"repeat_refusal": True},
+    {"unproven": 503},
+    {"unproven": 429},
+    {"late_s": 0.1},
+    {"stray": b"another"},
+)
+ENGINE_FAULTS = (
+    {"refuse": True},
+    {"fail": True},
+    {"reset": True},
+    {"until_close": True},
+    {"close_in_head": 30},
+    {"cut_in_event": 3},
+    {"stall_before_event": 4},
+    {"close_after": 0},
+    {"close_after": 25},
+    {"drip_before_event": 2},
+    {"resumed": "text"},
+    {"resumed": "gap"},
+    {"unproven": 503},
+)
+STORE_FAULTS = ("busy", "many", "reset", "silent")
+
+
+@dataclass
+class Outcome:
+    """What callers saw; ``wrong`` describes each answer that should not have been."""
+
+    ends: Counter = field(default_factory=Counter)
+    not_run_ids: set[str] = field(default_factory=set)
+    unread_ids: set[str] = field(default_factory=set)
+    wrong: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """One run: a world of two nodes, its callers and what disturbs them."""
+
+    def __init__(self, world: World, second: RelayNode, seed: int):
+        self.world = world
+        self.second = second
+        self.rng = random.Random(seed)
+        self.outcome = Outcome()
+        self.stopping = False
+        self._disturbed: set[str] = set()
+        self._numbers = iter(range(1_000_000))
+
+    async def run(self, seconds: float) -> Outcome:
+        """Disturb the callers for a time, then let them end; return what they saw."""
+        callers = [asyncio.create_task(self.call_often()) for _ in range(CALLERS)]
+        disturbing = [
+            *(asyncio.create_task(self.disturb_endpoints()) for _ in range(FAULTS)),
+            asyncio.create_task(self.disturb_store()),
+            asyncio.create_task(self.replace_second_node()),
+        ]
+        await asyncio.sleep(seconds)
+        self.stopping = True
+        await asyncio.gather(*callers, *disturbing)
+        self.check_runs()
+        return self.outcome
+
+    async def call_often(self) -> None:
+        """Send calls on a kept connection until it is closed, then on another one."""
+        while not self.stopping:
+            node = self.rng.choice((self.world.node, self.second))
+            try:
+                streams = await asyncio.open_connection(
+                    "127.0.0.1", node.caller_server.port
+                )
+            except OSError:
+                await asyncio.sleep(0.02)  # a stopped node listens no more
+                continue
+            while not self.stopping and await self.call_once(streams):
+                pass
+            streams[1].close()
+
+    async def call_once(self, streams) -> bool:
+        """Send one call; return whether the connection can be used again."""
+        number = next(self._numbers)
+        name = self.rng.choice(("look", "pay", "pay", "chat"))
+        request_id, body = f"{name}-{number}", b"body %d" % number
+        data = (
+            chat(request_id, body=body)
+            if name == "chat"
+            else request(f"/{name}/x", body=body, request_id=request_id)
+        )
+        began = time.monotonic()
+        try:
+            reply = await ask_on(streams, data, 2 * LONGEST_CALL_S)
+        except ConnectionError:
+            reply = Reply()
+        except TimeoutError:
+            self.outcome.wrong.append(f"{request_id}: no answer")
+            return False
+        if time.monotonic() - began > LONGEST_CALL_S:
+            self.outcome.wrong.append(f"{request_id}: answered late")
+        self.check(request_id, body, reply)
+        return reply.whole and reply.headers.get("connection") != "close"
+
+    def check(self, request_id: str, body: bytes, reply: Reply) -> None:
+        """Check an answer by itself; a later check compares it with the runs."""
+        kind = request_id.partition("-")[0]
+        self.outcome.ends[kind, reply.status if reply.whole else "cut"] += 1
+        wrong = None
+        if not reply.whole and not reply.status:
+            self.outcome.unread_ids.add(request_id)
+        elif not reply.whole and kind != "chat":
+            wrong = "cut off"
+        elif reply.status == 200 and kind == "chat":
+            right = reply.body == EVENTS if reply.whole else EVENTS[: len(reply.body)]
+            wrong = None if right else "wrong events"
+        elif reply.status == 200:
+            wrong = None if reply.body.endswith(b" " + body) else "another body"
+        elif reply.status in NOT_RUN_STATUSES:
+            self.outcome.not_run_ids.add(request_id)
+        elif reply.status not in (500, 502, 504):
+            wrong = f"status {reply.status}"
+        if wrong:
+            self.outcome.wrong.append(f"{request_id}: {wrong}: {reply}")
+
+    def check_runs(self) -> None:
+        """Check that calls ran at most once, and not at all if callers were told so."""
+        runs = Counter(
+            call.get(b"knapweedhinge-request-id").decode()
+            for replica in self.world.replicas.values()
+            for call in replica.calls
+        )
+        for request_id, count in runs.items():
+            if request_id.startswith("pay") and count > 1:
+                self.outcome.wrong.append(f"{request_id}: ran {count} times")
+            if count > 3:
+                self.outcome.wrong.append(f"{request_id}: ran {count} times of 3")
+        for request_id in self.outcome.not_run_ids & runs.keys():
+            if request_id.startswith("pay"):
+                self.outcome.wrong.append(f"{request_id}: refused, but ran")
+        for request_id in self.outcome.unread_ids & runs.keys():
+            self.outcome.wrong.append(f"{request_id}: passed on and cut off")
+
+    async def disturb_endpoints(self) -> None:
+        """Let endpoints fail in turn, crash and come back."""
+        while not self.stopping:
+            replica = self.rng.choice(list(self.world.replicas.values()))
+            if replica.id in self._disturbed:
+                await asyncio.sleep(0.02)
+                continue
+            self._disturbed.add(replica.id)
+            await self.disturb(replica)
+            self._disturbed.discard(replica.id)
+
+    async def disturb(self, replica: Replica) -> None:
+        """Let an endpoint fail for a while, or crash."""
+        if self.rng.random() < 0.2:
+            await self.crash(replica)
+            return
+        faults = SHOP_FAULTS if replica.service == "shop" else ENGINE_FAULTS
+        chosen = self.rng.choice(faults)
+        if "repeat_refusal" in chosen:
+            replica.faults = ReplicaFaults(refuse=True)
+            await asyncio.sleep(REFUSE_FIRST_S)
+        replica.faults = ReplicaFaults(**chosen)
+        await asyncio.sleep(self.rng.uniform(0.05, 0.4))
+        replica.faults = ReplicaFaults()
+        if "leaving" in chosen:
+            await self.crash(replica)
+
+    async def crash(self, replica: Replica) -> None:
+        """End an endpoint's process without notice and start another one."""
+        await replica.stop()
+        await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+        await replica.restart()
+        row = replica.record(born=next(self._numbers) + 2)
+        self.world.store.put("servers", replica.id, row)
+
+    async def disturb_store(self) -> None:
+        """Let the store fail now and then."""
+        while not self.stopping:
+            await asyncio.sleep(self.rng.uniform(0.3, 1.0))
+            self.world.store.faults = StoreFaults(self.rng.choice(STORE_FAULTS))
+            await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+            self.world.store.faults = StoreFaults()
+
+    async def replace_second_node(self) -> None:
+        """Stop the second node as planned, again and again, and start another one."""
+        while not self.stopping:
+            await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+            old = self.second
+            await old.stop(old.clock())
+            self.world.store.faults = StoreFaults()
+            self.second = RelayNode(old.settings)
+            await self.second.start()
+
+
+async def soak(seed: int, seconds: float) -> Outcome:
+    """Run one seed; return what callers saw."""
+    replicas = [
+        Replica(f"{service}-{number}", service)
+        for service in ("shop", "engine")
+        for number in range(REPLICAS_PER_SERVICE)
+    ]
+    promises = Promises(grace_s=GRACE_S, retry_allowance=1_000.0)
+    async with two_nodes(replicas, promises=promises) as (world, second):
+        run = Soak(world, second, seed)
+        try:
+            return await run.run(seconds)
+        finally:
+            if run.second is not second:
+                await run.second.close()
+
+
+def main() -> None:
+    """Run the seeds that the command line names, and print what was wrong."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    args = parser.parse_args()
+    logger.remove()
+    logging.disable(logging.CRITICAL)
+    for seed in range(args.first, args.first + args.seeds):
+        outcome = asyncio.run(soak(seed, args.seconds))
+        lines = [f"{seed} {dict(outcome.ends)}", *outcome.wrong]
+        sys.stdout.write("\n  ".join(lines) + "\n")
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform/test_soak.py
@@ -0,0 +1,13 @@
+"""A short soak of two seeds; ``tests.platform.soak`` runs many by hand."""
+
+import pytest
+
+from tests.platform.soak import soak
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_callers_get_true_answers_while_everything_fails_in_turn(seed):
+    outcome = await soak(seed, 6.0)
+    assert outcome.wrong == []
+    assert outcome.ends["pay", 200] > 100
+    assert outcome.ends["chat", 200] > 50
