--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -1,7 +1,7 @@
 """Fakes and helpers for the tests of the peer layer."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from random import Random
 
@@ -14,7 +14,11 @@
     PeerSettings,
     PlatformSettings,
 )
-from knapweedhinge.core.exceptions import PlatformUnavailableError, RowConflictError
+from knapweedhinge.core.exceptions import (
+    PeerError,
+    PlatformUnavailableError,
+    RowConflictError,
+)
 from knapweedhinge.peers import Member, Peers
 
 # Settings of the peers, in seconds, with which failures are detected fast.
@@ -121,6 +125,32 @@
             await node.stop()
 
 
+@contextmanager
+def partition(*pairs):
+    """Break the connections between pairs of nodes and prevent new ones."""
+    originals = []
+    for node, other in (*pairs, *((b, a) for a, b in pairs)):
+        originals.append((node._engine.links, node._engine.links.get_or_dial))
+        node._engine.links.get_or_dial = refusing(
+            node._engine.links.get_or_dial, other.me.vm
+        )
+        node._engine.links.drop(other.me.vm)
+    try:
+        yield
+    finally:
+        for links, get_or_dial in reversed(originals):
+            links.get_or_dial = get_or_dial
+
+
+def refusing(get_or_dial, vm):
+    async def refuse(member, timeout_s, force=False):
+        if member.vm == vm:
+            raise PeerError(f"{vm} is cut off")
+        return await get_or_dial(member, timeout_s, force)
+
+    return refuse
+
+
 @pytest.fixture
 def table():
     return FakeTable()
--- a/tests/peers/test_failures.py
+++ b/tests/peers/test_failures.py
@@ -1,7 +1,7 @@
 """Failures of nodes and connections, with real nodes on the loopback interface."""
 
 import asyncio
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from random import Random
 
 import pytest
@@ -10,7 +10,14 @@
 from knapweedhinge.core.exceptions import PeerError
 from knapweedhinge.peers import MemberState, Peers
 from knapweedhinge.peers.topology import neighbours, ring_count
-from tests.peers.conftest import QUICK, FakeTable, fleet, make_settings, until
+from tests.peers.conftest import (
+    QUICK,
+    FakeTable,
+    fleet,
+    make_settings,
+    partition,
+    until,
+)
 
 # Seconds; a wrong suspicion becomes a declared death within this time.
 SETTLE_S = 2 * QUICK["suspicion_s"]
@@ -37,32 +44,6 @@
     return found
 
 
-@contextmanager
-def partition(*pairs):
-    """Break the connections between pairs of nodes and prevent new ones."""
-    originals = []
-    for node, other in (*pairs, *((b, a) for a, b in pairs)):
-        originals.append((node._engine.links, node._engine.links.get_or_dial))
-        node._engine.links.get_or_dial = refusing(
-            node._engine.links.get_or_dial, other.me.vm
-        )
-        node._engine.links.drop(other.me.vm)
-    try:
-        yield
-    finally:
-        for links, get_or_dial in reversed(originals):
-            links.get_or_dial = get_or_dial
-
-
-def refusing(get_or_dial, vm):
-    async def refuse(member, timeout_s, force=False):
-        if member.vm == vm:
-            raise PeerError(f"{vm} is cut off")
-        return await get_or_dial(member, timeout_s, force)
-
-    return refuse
-
-
 def between(nodes, others):
     return [(node, other) for node in nodes for other in others]
 
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -10,6 +10,7 @@
 from knapweedhinge.routing.load import EndpointView
 from knapweedhinge.routing.promptquarantine import part_key
 from knapweedhinge.test.replica import Replica
+from tests.peers.conftest import partition
 from tests.platform.world import (
     World,
     catalog,
@@ -224,3 +225,19 @@
         shops[0].calls.clear()
         await exchange(second.caller_server.port, request("/look/x", request_id="r2"))
     assert len(shops[0].calls) == 1
+
+
+async def test_a_node_cut_off_from_its_peers_refuses_once_it_is_heard_again():
+    replicas = engines(10)
+    async with two_nodes(replicas) as (world, second):
+        peers = tuple(node.peers._peers for node in (world.node, second))
+        with partition(peers):
+            for number in range(4):
+                await world.ask(tainted(number))
+            crashed = crashes(replicas)
+            assert second.ctx.quarantine.crashes() == ()
+        await world.until(lambda: len(second.ctx.quarantine.crashes()) == crashed, 15)
+        reply = await exchange(second.caller_server.port, tainted(99))
+        other = await exchange(second.caller_server.port, sound(1))
+    assert (reply.status, other.status) == (503, 200)
+    assert crashes(replicas) == crashed <= 5
