Hold releases to their share by moving traffic late, not by a verdict

Cause: all traffic moved after 0.52 of the period, and only a verdict could limit what followed. A release that fails some calls more under load can't be found in time: 5 in 100 more is what chance is allowed.

Change: the owner of a roll-out counts the calls, and moves traffic only when all calls until the end of the period fit into the voted share and allowance. The trial gets two fifths of the share instead of four, which leaves time to watch the full load. Releases without comparable times move at the end of the period.

Conclusion: the share holds whatever evidence says. Such a release may still be completed at the end of its period, as before.

--- a/knapweedhinge/controllers/release_controller.py
+++ b/knapweedhinge/controllers/release_controller.py
@@ -9,10 +9,17 @@
 
 from loguru import logger
 
+from knapweedhinge.conf.relay import Promises
 from knapweedhinge.controllers.fleet import FleetTracker
 from knapweedhinge.controllers.release_tracker import ReleaseTracker
 from knapweedhinge.core.exceptions import PlatformError
-from knapweedhinge.routing.releases import FINAL_STAGES, Release, Stage, next_stage
+from knapweedhinge.routing.releases import (
+    FINAL_STAGES,
+    Observed,
+    Release,
+    Stage,
+    next_stage,
+)
 
 
 class StageRecords(Protocol):
@@ -33,7 +40,8 @@
     """Advance the roll-outs that this node owns, at each call of ``step``.
 
     ``is_owner(service)`` tells whether this node is the one to advance the roll-outs of
-    a service.
+    a service. ``promises`` hold the share of calls that a release may receive in the
+    period of its roll-out.
     """
 
     def __init__(
@@ -42,14 +50,19 @@
         release_tracker: ReleaseTracker,
         records: StageRecords,
         is_owner: Callable[[str], bool],
+        promises: Promises,
     ):
         self._fleet = fleet
         self._release_tracker = release_tracker
         self._records = records
         self._is_owner = is_owner
+        self._promises = promises
         # Time on the store's clock, in seconds, at which this node first saw that all
         # traffic goes to a release.
         self._traffic_moved_at: dict[Release, float] = {}
+        # Known answers of a service when this node first saw a roll-out, by service and
+        # version.
+        self._calls_before: dict[tuple[str, str], int] = {}
 
     def running(self) -> list[Release]:
         """Return the roll-outs that are not in a final stage."""
@@ -64,6 +77,10 @@
         """
         self._forget_ended()
         for release in self.running():
+            key = release.service, release.version
+            if key not in self._calls_before:
+                calls = self._release_tracker.calls(release.service)
+                self._calls_before[key] = calls.total()
             if self._is_owner(release.service):
                 await self._step(release, now)
 
@@ -79,6 +96,10 @@
             for item, moved_at in self._traffic_moved_at.items()
             if item in running
         }
+        keys = {(item.service, item.version) for item in running}
+        self._calls_before = {
+            key: calls for key, calls in self._calls_before.items() if key in keys
+        }
 
     async def _step(self, release: Release, now: float) -> None:
         staged = self._fleet.view.stages.get(release.service)
@@ -86,12 +107,23 @@
         if staged is None or staged.version != release.version:
             await self._record(release, Stage.TRIAL, store_now, "ordered")
             return
-        verdict = self._release_tracker.verdict(release)
-        in_use = self._release_tracker.old_in_use(release)
-        moved_s = self._seconds_since_move(release, store_now)
-        stage = next_stage(release, verdict, in_use, moved_s, store_now)
+        observed = self._observe(release, store_now)
+        stage = next_stage(release, observed, self._promises, store_now)
         if stage is not None:
-            await self._record(release, stage, release.began_at, verdict.reason)
+            reason = observed.verdict.reason
+            await self._record(release, stage, release.began_at, reason)
+
+    def _observe(self, release: Release, store_now: float) -> Observed:
+        tracker = self._release_tracker
+        calls = tracker.calls(release.service)
+        before = self._calls_before[release.service, release.version]
+        return Observed(
+            tracker.verdict(release),
+            calls=calls.total() - before,
+            new_calls=calls[release.version],
+            old_in_use=tracker.old_in_use(release),
+            moved_s=self._seconds_since_move(release, store_now),
+        )
 
     def _seconds_since_move(self, release: Release, store_now: float) -> float:
         """Return for how many seconds this node has seen all traffic on a release."""
--- a/knapweedhinge/controllers/release_tracker.py
+++ b/knapweedhinge/controllers/release_tracker.py
@@ -128,6 +128,14 @@
                 side[kind] = side.get(kind, AnswerStats()).plus(tally)
         return compare_releases(new, old, moved=release.stage is Stage.MOVING)
 
+    def calls(self, service: str) -> Counter[str]:
+        """Return how many answers of each version are known, over all nodes."""
+        counts: Counter[str] = Counter()
+        for name, version, _, tally in self._all_tallies():
+            if name == service:
+                counts[version] += tally.answers
+        return counts
+
     def old_in_use(self, release: Release) -> int:
         """Return how many calls run on other versions of the service, on all nodes."""
         peers = (
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -124,14 +124,15 @@
             nodes=lambda: self.fleet.nodes,
         )
         self.feeds.events.subscribe(self._apply_event)
+        promises = settings.promises
         self.releases = ReleaseTracker()
         self.release_controller = ReleaseController(
             self.fleet,
             self.releases,
             StageRecorder(self.store, self.feeds),
             lambda service: self.peers.owns_release(service),
+            promises,
         )
-        promises = settings.promises
         self.sessions = SessionTracker(promises.session_idle_s + SESSION_MARGIN_S)
         self.trials = TrialCoordinator(
             self.fleet,
--- a/knapweedhinge/routing/releases.py
+++ b/knapweedhinge/routing/releases.py
@@ -3,11 +3,12 @@
 The trial must catch a release that fails some of its calls or is several times slower,
 possibly only after some seconds, under load or on a single route, while the remaining
 traffic is unaffected. It gives the release a fixed share of the sessions that begin
-during the trial, see ``trialsessions``. All traffic moves only after a good trial
-of about half of the roll-out period, which reveals releases that turn bad late. A
-release that fails only under full load shows this after the move; until it has been
-watched there for a while, the old release is kept running so that a rollback is
-possible.
+during the trial, see ``trialsessions``.
+
+No trial shows how a release behaves under full load. All traffic therefore moves so
+late that the release stays within the voted share of the calls of the whole period,
+whatever turns out then. It is watched for most of the time that is left, and the old
+release is kept running until then so that a rollback is possible.
 """
 
 from dataclasses import dataclass
@@ -15,28 +16,38 @@
 
 import xxhash
 
+from knapweedhinge.conf.relay import Promises
 from knapweedhinge.routing.releaseverdict import Verdict
 
-# Share of sessions in the trial, as a fraction of the voted bound, which limits the
-# share of all calls over the whole roll-out. A fifth of the bound is left for sessions
-# of unequal size and for calls sent until all nodes know the verdict. The rest is used:
-# a smaller trial would not save bad answers, since the number needed for a verdict
-# doesn't depend on the share, and would leave more load on the old release.
-TRIAL_SHARE_OF_BOUND = 0.8
-# Fraction of the roll-out period after which all traffic moves.
+# Share of sessions in the trial, as a fraction of the voted bound. The bound limits the
+# share of all calls over the whole period; the rest of it is for the time after the
+# move. The smaller the trial is, the longer is that time, and the fewer answers decide
+# on the move.
+TRIAL_SHARE_OF_BOUND = 0.4
+# Rate of calls after the move that still stays within the voted share, compared with
+# the mean rate before.
+SURGE = 1.25
+# Largest part of the calls for which the allowance beyond the voted share is used, in
+# case this node doesn't know the calls of all nodes yet.
+MAX_ALLOWANCE_SHARE = 0.08
+# Fraction of the period before which no traffic moves, however large the voted share
+# is: releases may turn bad late.
 MOVE_AT_PERIOD_SHARE = 0.52
-# Fraction of the roll-out period after which all traffic moves although the trial had
-# too few comparable times to rule out that the release is slow. What is left of the
-# period is enough to watch it under full load.
-MOVE_UNTIMED_AT_PERIOD_SHARE = 0.68
-# Fraction of the roll-out period after which the old release is given up even if calls
-# still run on it.
-FINISH_AT_PERIOD_SHARE = 0.85
-# Fraction of the roll-out period for which a release is watched under the full load
-# before the old one is given up. If a bad release is detected within half of this, its
-# calls during that time and the trial together stay within the voted bound.
-PROOF_PERIOD_SHARE = 0.15
+# Fraction of the period after which all traffic moves although the trial had too few
+# comparable times to rule out that the release is slow. The voted share no longer
+# limits the time for which it is watched then.
+MOVE_UNTIMED_AT_PERIOD_SHARE = 1.0
+# Time for which a release is watched under the full load before the old one is given
+# up, as a fraction of what is left of the period after the move, and the longest such
+# time as a fraction of the period.
+WATCH_SHARE_OF_REST = 0.5
+MAX_WATCH_PERIOD_SHARE = 0.15
+# The old release is given up after this many such times even if calls still run on it.
+MAX_WATCHES = 1.5
 STAGE_SPREAD_S = 0.4  # time in seconds for a stage change to reach all nodes
+# Time in seconds before the end of the period at which the last stage is due, since it
+# must be recorded and an order isn't seen at once.
+RECORD_MARGIN_S = 0.5
 
 
 class Stage(StrEnum):
@@ -66,6 +77,23 @@
     began_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Observed:
+    """What is known of a running roll-out, over all nodes.
+
+    ``calls`` is the number of answers of the service since the roll-out began,
+    ``new_calls`` that of the new release. ``old_in_use`` is the number of calls that
+    still run on the old release. ``moved_s`` is the time in seconds since all traffic
+    moved, 0 before that.
+    """
+
+    verdict: Verdict
+    calls: int = 0
+    new_calls: int = 0
+    old_in_use: int = 0
+    moved_s: float = 0.0
+
+
 def trial_share(bound: float) -> float:
     """Return the share of sessions in the trial for a voted ``bound``, both in 0..1."""
     return TRIAL_SHARE_OF_BOUND * bound
@@ -108,17 +136,34 @@
     return True
 
 
+def may_move(
+    release: Release, observed: Observed, promises: Promises, elapsed: float
+) -> bool:
+    """Return whether a release that gets all traffic now stays within its share.
+
+    It gets all calls until the end of the period then, also if it turns bad.
+    ``elapsed`` is in seconds since the roll-out began.
+    """
+    if elapsed <= 0.0:
+        return False
+    bound, calls = promises.exposure, observed.calls
+    new_calls = max(observed.new_calls, trial_share(bound) * calls)
+    left_s = max(0.0, release.period_s - elapsed)
+    after = SURGE * calls / elapsed * left_s
+    allowance = min(promises.exposure_allowance, MAX_ALLOWANCE_SHARE * (calls + after))
+    return new_calls + after <= bound * (calls + after) + allowance
+
+
 def next_stage(
-    release: Release, verdict: Verdict, old_in_use: int, moved_s: float, now: float
+    release: Release, observed: Observed, promises: Promises, now: float
 ) -> Stage | None:
     """Return the next stage of a roll-out, None to stay in the present one.
 
-    ``old_in_use`` is the number of calls that still run on the old release, on all
-    nodes. ``moved_s`` is the time in seconds since all traffic moved, 0 before that.
     ``now`` is on the store's clock.
     """
     if release.stage in FINAL_STAGES:
         return None
+    verdict = observed.verdict
     if verdict.bad:
         return Stage.ROLLED_BACK
     elapsed = now - release.began_at
@@ -126,8 +171,23 @@
         share = (
             MOVE_AT_PERIOD_SHARE if verdict.as_fast else MOVE_UNTIMED_AT_PERIOD_SHARE
         )
-        due = elapsed >= share * release.period_s
+        due = elapsed >= share * release.period_s and may_move(
+            release, observed, promises, elapsed
+        )
         return Stage.MOVING if due and verdict.good else None
-    proven = moved_s > max(STAGE_SPREAD_S, PROOF_PERIOD_SHARE * release.period_s)
-    over = elapsed >= FINISH_AT_PERIOD_SHARE * release.period_s
-    return Stage.COMPLETE if over or (proven and not old_in_use) else None
+    watch_s = _watch_s(release, elapsed - observed.moved_s)
+    proven = observed.moved_s > watch_s
+    over = observed.moved_s > MAX_WATCHES * watch_s
+    return Stage.COMPLETE if over or (proven and not observed.old_in_use) else None
+
+
+def _watch_s(release: Release, moved_at: float) -> float:
+    """Return the seconds for which a release is watched under the full load.
+
+    ``moved_at`` is the time of the move in seconds since the roll-out began. The stage
+    must have reached all nodes.
+    """
+    longest = MAX_WATCH_PERIOD_SHARE * release.period_s
+    rest = release.period_s - RECORD_MARGIN_S - moved_at
+    watch_s = min(longest, WATCH_SHARE_OF_REST * rest) if rest > 0.0 else longest
+    return max(STAGE_SPREAD_S, watch_s)
--- a/tests/routing/test_releaseverdict.py
+++ b/tests/routing/test_releaseverdict.py
@@ -6,7 +6,9 @@
 import msgspec
 import pytest
 
+from knapweedhinge.conf.relay import Promises
 from knapweedhinge.routing.releases import (
+    Observed,
     Release,
     Stage,
     goes_to_new_version,
@@ -428,7 +430,10 @@
             )
             in_use = sum(end > now for running in ends["old"] for end in running)
             moved_s = now - moved_at if moved else 0.0
-            stage = next_stage(release, verdict, in_use, moved_s, now)
+            observed = Observed(
+                verdict, sum(counts.values()), counts["new"], in_use, moved_s
+            )
+            stage = next_stage(release, observed, PROMISES, now)
             if stage is Stage.MOVING:
                 moved_at = now
             release = replace(release, stage=stage or release.stage)
@@ -437,6 +442,7 @@
 
 # Voted share of calls to the new release, and the number of calls allowed beyond it.
 EXPOSURE, SLACK = 0.15, 30
+PROMISES = Promises(exposure=EXPOSURE, exposure_allowance=SLACK)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
