Tell peers of a crash with this node's own requests only

When an engine crashed, each node that had calls there published what it knew of the crash, the calls of other nodes included, so that entries grew with the number of nodes.

Cause: the tracker published the merged record of a crash. Merging at the receivers unites the entries of all nodes anyway.

Change: a tracker keeps and publishes its own part of each crash. A restarted node takes up what its process before had told, so that a later entry doesn't replace it by less.

Evidence: test_a_crash_is_not_told_with_the_requests_of_other_nodes (2 and 40 nodes) and test_a_restarted_node_still_tells_what_it_told_of_a_crash_before failed before.

Conclusion: what a crash costs grows with its calls, not with calls times nodes.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -75,6 +75,8 @@
         self._running: dict[tuple[str, str], list[str]] = {}
         # Requests whose connection to an engine broke, with the time.
         self._broken: dict[tuple[str, str], list[tuple[float, UnansweredCall]]] = {}
+        # Crashes with the requests of this node alone, by the crash's id.
+        self._own_crashes: dict[str, Crash] = {}
         # Monotonic time in seconds at which an isolation ends, by endpoint id.
         self._isolated: dict[str, float] = {}
         self.updates_for_peers: Subject = Subject()
@@ -171,8 +173,8 @@
         )
 
     def known_updates(self) -> tuple[KeyedUpdate, ...]:
-        """Return all known crashes, for peers that this node has just joined."""
-        return tuple(_crash_update(crash) for crash in self.crashes())
+        """Return this node's part in all crashes, for peers that it has just joined."""
+        return tuple(_crash_update(crash) for crash in self._own_crashes.values())
 
     def crashes(self) -> tuple[Crash, ...]:
         """Return all known crashes."""
@@ -208,11 +210,16 @@
             endpoint_id for endpoint_id, until in self._isolated.items() if until > now
         )
 
-    def merge(self, update: QuarantineUpdate, now: float) -> None:
-        """Merge an update that a peer published at the time ``now``."""
+    def merge(self, update: QuarantineUpdate, now: float, *, own: bool = False) -> None:
+        """Merge an update that a peer published at the time ``now``.
+
+        ``own`` says that this node published it itself, before it was restarted.
+        """
         self._quarantine.evidence.merge(update.entries)
         for crash in update.entries.crashes:
             self._share_with_prompts(crash.id, now)
+            if own:
+                self._add_own(crash)
         self._prompts.answered(update.entries.answered_parts, now)
         for isolation in update.isolations:
             if isolation.ended:
@@ -221,11 +228,26 @@
                 self._isolated[isolation.endpoint_id] = now + MAX_TRIAL_S
 
     def _add_crash(self, crash: Crash, now: float) -> Crash:
+        """Record a crash with requests of this node, and publish those alone.
+
+        Peers merge the entries of all nodes. If each carried the requests of others
+        too, their sizes would grow with the number of nodes.
+        """
         evidence = self._quarantine.evidence
         evidence.add_crash(crash)
         self._share_with_prompts(crash.id, now)
-        merged = evidence.crashes.get(crash.id, crash)
-        self.updates_for_peers.on_next(_crash_update(merged))
+        self.updates_for_peers.on_next(_crash_update(self._add_own(crash)))
+        return evidence.crashes.get(crash.id, crash)
+
+    def _add_own(self, crash: Crash) -> Crash:
+        known = self._own_crashes.get(crash.id, crash)
+        kept = self._quarantine.evidence.crashes
+        self._own_crashes = {
+            crash_id: own
+            for crash_id, own in self._own_crashes.items()
+            if crash_id in kept
+        }
+        merged = self._own_crashes[crash.id] = known.merged(crash)
         return merged
 
     def _share_with_prompts(self, crash_id: str, now: float) -> None:
--- a/knapweedhinge/node/peer_sync.py
+++ b/knapweedhinge/node/peer_sync.py
@@ -95,7 +95,8 @@
         except MsgspecError as exc:
             logger.bind(vm=entry.vm).warning(f"malformed quarantine update: {exc}")
             return
-        self._ctx.quarantine.merge(update, entry.published_at)
+        own = entry.vm == self.peers.me.vm
+        self._ctx.quarantine.merge(update, entry.published_at, own=own)
 
 
 def _address(member: Member) -> Address:
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -265,7 +265,8 @@
         update = _decode_entry(entry, QuarantineUpdate)
         if update is None:
             return
-        self._ctx.quarantine.merge(update, entry.published_at)
+        own = entry.vm == self._vm
+        self._ctx.quarantine.merge(update, entry.published_at, own=own)
         for crash in update.entries.crashes:
             self._pause_crashed(crash, entry.published_at)
 
--- a/tests/controllers/test_quarantinetracker.py
+++ b/tests/controllers/test_quarantinetracker.py
@@ -65,3 +65,45 @@
         tracker.crashed(engine, LIMITS, number)
     assert tracker.blamed_parts(("shared", "fatal"), LIMITS, 3.0)
     assert tracker.verdict("sound", LIMITS, 10, 3.0).standing is Standing.NORMAL
+
+
+def joined_trackers(count: int) -> list[QuarantineTracker]:
+    """Return trackers of nodes that get each other's updates at once."""
+    trackers = [QuarantineTracker() for _ in range(count)]
+    for tracker in trackers:
+        for peer in trackers:
+            if peer is not tracker:
+                tracker.updates_for_peers.subscribe(
+                    lambda keyed, peer=peer: peer.merge(keyed.update, 0.0)
+                )
+    return trackers
+
+
+@pytest.mark.parametrize("nodes", [2, 40])
+def test_a_crash_is_not_told_with_the_requests_of_other_nodes(nodes):
+    trackers = joined_trackers(nodes)
+    published = []
+    for number, tracker in enumerate(trackers):
+        tracker.broke_off(ENGINE, f"call{number}", 0.0, (f"part{number}",))
+        tracker.updates_for_peers.subscribe(published.append)
+    for tracker in trackers:
+        tracker.crashed(ENGINE, LIMITS, 0.0)
+    told = [keyed.update.entries.crashes[0] for keyed in published]
+    assert [crash.fingerprints for crash in told] == [
+        {f"call{number}"} for number in range(nodes)
+    ]
+    everything = {f"call{number}" for number in range(nodes)}
+    assert all(tracker.crashes()[0].fingerprints == everything for tracker in trackers)
+
+
+def test_a_restarted_node_still_tells_what_it_told_of_a_crash_before():
+    tracker, published = QuarantineTracker(), []
+    tracker.updates_for_peers.subscribe(published.append)
+    tracker.broke_off(ENGINE, "before", 0.0)
+    tracker.crashed(ENGINE, LIMITS, 0.0)
+    again = QuarantineTracker()
+    again.updates_for_peers.subscribe(published.append)
+    again.merge(published[-1].update, 0.0, own=True)
+    again.broke_off(ENGINE, "after", 0.5)
+    assert published[-1].update.entries.crashes[0].fingerprints == {"before", "after"}
+    assert again.known_updates() == (published[-1],)
