Read the store again at once when a reader has newer rows after an outage

Cause: a node whose read fails while it hears of a reader backs off for up to 3 s, since rows reach it through the reader. A reader that has just restarted doesn't send what it read first. That this node lacks rows was looked at only between polls, not during the back-off. Class of fault: a wait that isn't ended by the news that make it pointless. Looked for elsewhere in the feeds, by reading: the pending request of a silent store lasts until its time-out; not changed.

--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -272,21 +272,25 @@
             except PlatformError as exc:
                 failures += 1
                 logger.bind(table=table, code=exc.code.number).debug(str(exc))
-                await self._back_off(failures)
+                await self._back_off(table, failures)
             except Exception as exc:
                 # An error in a subscriber must not end the following of the table.
                 failures += 1
                 logger.bind(table=table).opt(exception=exc).error("feed failed")
-                await self._back_off(failures)
+                await self._back_off(table, failures)
 
-    async def _back_off(self, failures: int) -> None:
-        """Wait after a failed request, with exponential backoff and jitter."""
+    async def _back_off(self, table: str, failures: int) -> None:
+        """Wait after a failed request, with exponential backoff and jitter.
+
+        Wait no longer if this node is behind: the store answers the reader again.
+        """
         now = self._clock()
         last_seen_at = max(self._reader_seen_at.values(), default=float("-inf"))
         without_reader = now - last_seen_at > UNRANKED_TAKEOVER_S
         max_backoff_s = MAX_BACKOFF_S if without_reader else MAX_BACKOFF_WITH_READER_S
         backoff_s = min(max_backoff_s, BACKOFF_BASE_S * 2**failures)
-        await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+        backoff_s *= self._rng.uniform(0.5, 1.0)
+        await self._wait_unless_behind(table, lambda: backoff_s, lambda now: False)
 
     async def _poll_when_due(self, table: str) -> None:
         """Long-poll once if this node must read, else wait and then poll."""
@@ -334,16 +338,31 @@
 
     async def _wait_until_due(self, table: str) -> None:
         """Wait for the idle interval, or until this node is behind or must read."""
-        began, jitter = self._clock(), self._rng.uniform(0.8, 1.2)
-        while (
-            remaining_s := began + jitter * self._idle_interval_s() - self._clock()
-        ) > 0:
+        jitter, may_read = self._rng.uniform(0.8, 1.2), table not in NODE_WRITTEN_TABLES
+        await self._wait_unless_behind(
+            table,
+            lambda: jitter * self._idle_interval_s(),
+            lambda now: may_read and self._must_read(now),
+        )
+
+    async def _wait_unless_behind(
+        self,
+        table: str,
+        wait_s: Callable[[], float],
+        is_due: Callable[[float], bool],
+    ) -> None:
+        """Wait, but no longer than until this node is behind the reader or is due.
+
+        The time to wait may change meanwhile, with the number of nodes.
+        """
+        began = self._clock()
+        while (remaining_s := began + wait_s() - self._clock()) > 0:
             await asyncio.sleep(min(IDLE_CHECK_INTERVAL_S, remaining_s))
             now = self._clock()
             if now - self._behind_since.get(table, now) > MAX_BEHIND_S:
                 self._behind_since.pop(table, None)
                 return
-            if table not in NODE_WRITTEN_TABLES and self._must_read(now):
+            if is_due(now):
                 return
 
     def _long_poll_s(self, now: float) -> float:
--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -1,9 +1,11 @@
 """Tests of which node reads the store, and which takes over when it can't."""
 
+import asyncio
 import random
 
 import pytest
 
+from knapweedhinge.core.exceptions import PlatformError
 from knapweedhinge.platform.feeds import (
     RANKED_TAKEOVER_S,
     UNRANKED_TAKEOVER_S,
@@ -11,7 +13,7 @@
     ReaderStatus,
     RowChange,
 )
-from knapweedhinge.platform.store import Row, Store
+from knapweedhinge.platform.store import Row, Rows, Store
 
 
 def feeds(rank: int | None) -> Feeds:
@@ -65,3 +67,50 @@
     reader._polled_at["op"] = 0.0
     assert reader.reader_status(0.8).reads
     assert not reader.reader_status(1.0).reads
+
+
+POLL_TIMEOUT_S = 2.1  # of a request that a silent store doesn't answer
+CONTACT_S = 3.0  # time after the store's return in which all nodes must know its rows
+
+
+class SilentStore:
+    """Store that answers nothing before ``back_at`` and then has a newer row."""
+
+    def __init__(self, clock, back_at: float):
+        self._clock = clock
+        self._back_at = back_at
+        self.available = True
+        self.last_failed_at = float("-inf")
+
+    async def read(self, table: str) -> Rows:
+        return self._rows()
+
+    async def changes(self, table: str, since: int, wait_s: float) -> Rows:
+        if self._clock() < self._back_at:
+            await asyncio.sleep(POLL_TIMEOUT_S)
+            raise PlatformError("no answer")
+        await asyncio.sleep(0.0 if since < 5 else wait_s)
+        return self._rows()
+
+    def _rows(self) -> Rows:
+        version = 5 if self._clock() >= self._back_at else 1
+        return Rows((Row("config", version, b"{}"),), version, self._clock())
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("seed", range(20))
+async def test_a_node_whose_reads_failed_does_not_stay_behind_a_reader_that_reads(seed):
+    clock = asyncio.get_running_loop().time
+    back_at = clock() + 8.0
+    rng = random.Random(seed)
+    store = SilentStore(clock, back_at)
+    node = Feeds(store, str, clock, rng, rank=lambda: None)
+    node.follow("op")
+    try:
+        await asyncio.sleep(8.3 + rng.uniform(0.0, 1.0))
+        while clock() < back_at + CONTACT_S:
+            node.handle_reader_status(ReaderStatus(0, True, {"op": 5}), clock())
+            await asyncio.sleep(0.1)
+        assert node.mirror.newest_version("op") == 5
+    finally:
+        await node.stop()
