Tell peers of rows that differ after the store's history is gone

Cause: a node whose store has dropped the history reads the whole table again. That read was taken for the node's first one, whose rows aren't sent to peers. The docstring promises that rows that differ from an earlier read are. Class of fault: one mark for two states, "never read" and "must be read again". Looked for elsewhere: the other uses of the versions read mean the second only.

Change: the feeds remember which tables they have loaded.

Evidence: test_peers_get_the_rows_that_a_node_reads_after_the_history_is_gone failed before.

--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -168,7 +168,9 @@
         self._reader_seen_at: dict[int, float] = {}
         self._polled_at: dict[str, float] = {}
         self._behind_since: dict[str, float] = {}
-        # Version of each loaded table up to which it was read from the store.
+        self._loaded_tables: set[str] = set()
+        # Version of each table up to which it was read from the store, without those
+        # that must be read as a whole.
         self._read_versions: dict[str, int] = {}
         self._tasks: dict[str, asyncio.Task] = {}
 
@@ -179,7 +181,8 @@
         """
         lapsed = self._may_have_lapsed()
         found = await self._store.read(table)
-        first = table not in self._read_versions
+        first = table not in self._loaded_tables
+        self._loaded_tables.add(table)
         self._loaded_at = self._clock()
         self._read_versions[table] = found.version
         gone = self.mirror.deletions_for(
--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -13,7 +13,7 @@
     ReaderStatus,
     RowChange,
 )
-from knapweedhinge.platform.store import Row, Rows, Store
+from knapweedhinge.platform.store import HistoryGoneError, Row, Rows, Store
 
 
 def feeds(rank: int | None) -> Feeds:
@@ -114,3 +114,23 @@
         assert node.mirror.newest_version("op") == 5
     finally:
         await node.stop()
+
+
+@pytest.mark.looptime
+async def test_peers_get_the_rows_that_a_node_reads_after_the_history_is_gone():
+    clock = asyncio.get_running_loop().time
+    store = SilentStore(clock, clock() + 1.0)
+    node, sent = Feeds(store, str, clock, random.Random(1)), []
+    node.outgoing.subscribe(sent.append)
+    await node.load("op")
+
+    async def history_gone(table: str, since: int, wait_s: float) -> Rows:
+        del store.changes
+        raise HistoryGoneError("compacted")
+
+    store.changes = history_gone
+    await asyncio.sleep(1.0)
+    node.follow("op")
+    await asyncio.sleep(0.1)
+    await node.stop()
+    assert [(change.table, change.row.version) for change in sent] == [("op", 5)]
