--- a/tests/node/test_quarantine.py
+++ b/tests/node/test_quarantine.py
@@ -14,8 +14,7 @@
 
 CRASHING_PROMPT = "a splinter"
 NODES = 3
-# Time for which a request is refused after its crashes; longer than the test
-QUARANTINE_S = 6.0
+QUARANTINE_S = 6.0  # for which a request is refused; longer than all of a test's calls
 WAIT_S = 10.0  # bound on waiting for all nodes to learn of the crashes
 
 
