--- a/review/common/fragile.py
+++ b/review/common/fragile.py
@@ -26,8 +26,17 @@
 class FragileWorld:
     """The deployment, with replicas that crash and come back under a new id."""
 
-    def __init__(self, record: Record, deployment: Deployment, work_s: float):
+    def __init__(
+        self,
+        record: Record,
+        deployment: Deployment,
+        work_s: float,
+        replica_class: type[WorkingReplica] = Shop,
+        service: str = "shop",
+    ):
         self.record = record
+        self.replica_class = replica_class
+        self.service = service
         self.work_s = work_s
         self.deployment = deployment
         self.fatal_runs: list[tuple[float, str, str]] = []
@@ -38,9 +47,9 @@
     async def start_replica(self, zone: str) -> None:
         """Start one more replica in a zone, under a new id."""
         self._started += 1
-        shop = Shop(
+        shop = self.replica_class(
             f"i-{self._started:04d}",
-            "shop",
+            self.service,
             failure_domain=zone,
             record=self.record,
             work_s=self.work_s,
@@ -49,7 +58,7 @@
         await self.deployment.add(shop)
         self.record(f"replica {shop.id} has started")
 
-    async def crash(self, shop: Shop, cause: str) -> None:
+    async def crash(self, shop: WorkingReplica, cause: str) -> None:
         """End a replica without notice, and start it again after a while."""
         if shop.id in self.down:
             return
@@ -60,7 +69,7 @@
         task = asyncio.ensure_future(self._restart(shop))
         self._restarts.add(task)
 
-    async def _restart(self, shop: Shop) -> None:
+    async def _restart(self, shop: WorkingReplica) -> None:
         """Start the replica again under a new id; its old entry expires."""
         await asyncio.sleep(DOWN_S)
         await self.start_replica(shop.failure_domain)
@@ -72,7 +81,7 @@
         for task in self._restarts:
             task.cancel()
 
-    def alive(self) -> list[Shop]:
+    def alive(self) -> list[WorkingReplica]:
         """Return the replicas that run."""
         found = self.deployment.replicas.values()
         return [shop for shop in found if shop.id not in self.down]
