--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -10,13 +10,15 @@
 import random
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from knapweedhinge.http1 import Exchange
-from knapweedhinge.test.replica import Replica, ReplicaFaults
+from knapweedhinge.test.replica import Replica
 from knapweedhinge.test.rowstore import RowStoreStandIn
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -238,6 +240,23 @@
             self.record(f"node {node.name} is ready")
 
 
+def play(run: Callable[[Record], Awaitable[int]], case_file: str) -> None:
+    """Run a case and exit with its status, 2 if it can't run.
+
+    ``run`` gets the record, which is written to the folder of ``case_file``. SIGTERM
+    ends all processes that the case started, too.
+    """
+    record = Record(Path(case_file).with_name("record.txt"))
+    signal.signal(signal.SIGTERM, lambda signum, frame: sys.exit(2))
+    try:
+        status = asyncio.run(run(record))
+    except (OSError, TimeoutError) as exc:
+        record(f"the case could not run: {exc!r}")
+        status = 2
+    record(f"exit {status}")
+    sys.exit(status)
+
+
 def route(name: str, kind: str, service: str, **fields) -> dict:
     """Return a route of the config."""
     base = {
@@ -272,8 +291,3 @@
         },
         "tenants": [{"name": "acme", "apiKeys": ["key-of-acme"]}],
     }
-
-
-def no_faults() -> ReplicaFaults:
-    """Return a replica's faults with none set."""
-    return ReplicaFaults()
