Keep a call a suspect until its run at an endpoint has ended

Cause: suspicion ended with the first piece of the answer, so that neither the crash was looked for nor the call named.

Change: a call is in flight until its attempt ends. A crash says of which of its suspects a part of the answer had arrived; two crashes before any answer blame a call, three if it was answering, since long answers are under way at more crashes of another cause. A stream that ends within an event by an orderly close is looked into like a reset one.

Ruled out: burst and common suspects, which never came into play without evidence.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -3,6 +3,7 @@
 An engine is the process that serves an endpoint; its incarnation changes at a restart.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
 import msgspec
@@ -57,6 +58,15 @@
     update: QuarantineUpdate
 
 
+@dataclass(frozen=True, slots=True)
+class _BrokenCall:
+    """A call that an engine didn't answer completely, with the time of its end."""
+
+    at: float
+    call: UnansweredCall
+    answering: bool  # a part of its answer had arrived
+
+
 class QuarantineTracker:
     """Track this node's requests to engines, and decide how each may run.
 
@@ -71,10 +81,12 @@
         self._quarantine = Quarantine()
         self._prompts = PromptQuarantine()
         self._last_blamed: frozenset[str] = frozenset()
-        # Fingerprints of running requests, by endpoint id and incarnation.
+        # Fingerprints of running requests, by endpoint id and incarnation, and of those
+        # of them that have sent a part of their answer.
         self._running: dict[tuple[str, str], list[str]] = {}
-        # Requests whose connection to an engine broke, with the time.
-        self._broken: dict[tuple[str, str], list[tuple[float, UnansweredCall]]] = {}
+        self._answering: dict[tuple[str, str], list[str]] = {}
+        # Requests whose connection to an engine broke.
+        self._broken: dict[tuple[str, str], list[_BrokenCall]] = {}
         # Crashes with the requests of this node alone, by the crash's id.
         self._own_crashes: dict[str, Crash] = {}
         # Monotonic time in seconds at which an isolation ends, by endpoint id.
@@ -87,13 +99,24 @@
             fingerprint
         )
 
+    def answer_began(self, endpoint: EndpointView, fingerprint: str) -> None:
+        """Note that a running request has sent a part of its answer.
+
+        It stays a suspect: some requests crash an engine only while it answers.
+        """
+        self._answering.setdefault((endpoint.id, endpoint.incarnation), []).append(
+            fingerprint
+        )
+
     def ended(self, endpoint: EndpointView, fingerprint: str) -> None:
         """Note that a request no longer runs at an engine."""
         process = endpoint.id, endpoint.incarnation
-        fingerprints = self._running[process]
-        fingerprints.remove(fingerprint)
-        if not fingerprints:
-            del self._running[process]
+        for by_process in (self._running, self._answering):
+            fingerprints = by_process.get(process, [])
+            if fingerprint in fingerprints:
+                fingerprints.remove(fingerprint)
+            if not fingerprints:
+                by_process.pop(process, None)
 
     def broke_off(
         self,
@@ -101,37 +124,35 @@
         fingerprint: str,
         now: float,
         parts: tuple[str, ...] = (),
+        *,
+        answering: bool = False,
     ) -> None:
-        """Note that the connection of a request broke before it was answered.
+        """Note that the connection of a request broke before its answer was complete.
 
         The request counts as in flight if the engine turns out to have crashed, or is
         known to. ``parts`` holds the keys of the parts of its prompt that other
-        requests may contain too.
+        requests may contain too. ``answering`` says that a part of the answer arrived.
         """
         oldest = now - BROKEN_KEPT_S
         self._broken = {
             process: kept
             for process, broken in self._broken.items()
-            if (kept := [item for item in broken if item[0] > oldest])
+            if (kept := [item for item in broken if item.at > oldest])
         }
         process = endpoint.id, endpoint.incarnation
         call = UnansweredCall(fingerprint, self._prompts.suspects(parts, now))
-        self._broken.setdefault(process, []).append((now, call))
+        broken = _BrokenCall(now, call, answering)
+        self._broken.setdefault(process, []).append(broken)
         known = self._quarantine.evidence.crashes.get(Crash(*process, now).id)
         if known is not None:
-            self._add_crash(_crash(process, known.at, [call]), now)
+            self._add_crash(_crash(process, known.at, [broken]), now)
 
     def crashed(self, endpoint: EndpointView, limits: VotedLimits, now: float) -> Crash:
         """Record and return an engine's crash; its requests in flight are suspects."""
         process = endpoint.id, endpoint.incarnation
-        broken = [call for _, call in self._broken.get(process, ())]
-        in_flight = [
-            UnansweredCall(name, ()) for name in self._running.get(process, ())
-        ]
         self._quarantine.evidence.expire(limits, self._wall(now))
-        return self._add_crash(
-            _crash(process, self._wall(now), [*in_flight, *broken]), now
-        )
+        calls = [*self._in_flight(process, now), *self._broken.get(process, ())]
+        return self._add_crash(_crash(process, self._wall(now), calls), now)
 
     def answered(self, parts: tuple[str, ...], now: float) -> None:
         """Note that an engine answers a request with these parts in its prompt."""
@@ -227,6 +248,16 @@
             else:
                 self._isolated[isolation.endpoint_id] = now + MAX_TRIAL_S
 
+    def _in_flight(self, process: tuple[str, str], now: float) -> list["_BrokenCall"]:
+        answering = Counter(self._answering.get(process, ()))
+        calls = []
+        for name in self._running.get(process, ()):
+            calls.append(
+                _BrokenCall(now, UnansweredCall(name, ()), answering[name] > 0)
+            )
+            answering[name] -= 1
+        return calls
+
     def _add_crash(self, crash: Crash, now: float) -> Crash:
         """Record a crash with requests of this node, and publish those alone.
 
@@ -275,12 +306,16 @@
         return now + self._epoch_s
 
 
-def _crash(process: tuple[str, str], at: float, calls: list[UnansweredCall]) -> Crash:
+def _crash(process: tuple[str, str], at: float, broken: list[_BrokenCall]) -> Crash:
+    calls = [item.call for item in broken]
+    fingerprints = frozenset(call.fingerprint for call in calls)
+    unanswered = {item.call.fingerprint for item in broken if not item.answering}
     return Crash(
         *process,
         at,
-        frozenset(call.fingerprint for call in calls),
+        fingerprints,
         frozenset(call for call in calls if call.parts),
+        fingerprints - unanswered,
     )
 
 
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -60,7 +60,7 @@
         self._open = True
         self._started_at = self._ctx.clock()
         self.sent = False
-        self._unanswered = False
+        self._in_flight = False
         self._parts_cleared = False
         self._chosen_model = execution.chosen_model
         self._version = version_of(endpoint)
@@ -109,7 +109,7 @@
         )
         self.sent = execution.trace.sent = True
         ctx.quarantine.started(self.endpoint, req.fingerprint)
-        self._unanswered = True
+        self._in_flight = True
         execution.runs += 1
         self._channel.send(
             ctx.codec.encode(req.call, parameters),
@@ -185,7 +185,9 @@
         self._observation.piece_arrived(now)
         self._ctx.health.served(self.endpoint.id, now)
         if self._observation.pieces == 1:
-            self._end_suspicion()
+            self._ctx.quarantine.answer_began(
+                self.endpoint, self._execution.req.fingerprint
+            )
             self._ctx.loads.ended(self.endpoint.id, self._prefill_s)
             self._work_s -= self._prefill_s
             self._record_prefill_speed()
@@ -244,10 +246,14 @@
             self._observation.record_timeout()
         elif exc.run_state is not RunState.NOT_RUN:
             self._observation.record_failure()
-        if self._unanswered and isinstance(exc, AnswerBrokenError):
+        if self._in_flight and isinstance(exc, AnswerBrokenError):
             req = self._execution.req
             self._ctx.quarantine.broke_off(
-                self.endpoint, req.fingerprint, now, req.shared_parts
+                self.endpoint,
+                req.fingerprint,
+                now,
+                () if self._parts_cleared else req.shared_parts,
+                answering=not self.is_empty,
             )
             self._execution.crash_suspect = self.endpoint
         self._close(f"{exc.code.number} {exc.message}")
@@ -379,10 +385,10 @@
                 self._execution.req.shared_parts, self._ctx.clock()
             )
 
-    def _end_suspicion(self) -> None:
-        """Count the call no longer among those that may crash the endpoint."""
-        if self._unanswered:
-            self._unanswered = False
+    def _leave_endpoint(self) -> None:
+        """Count the call no longer among those in flight at the endpoint."""
+        if self._in_flight:
+            self._in_flight = False
             self._ctx.quarantine.ended(self.endpoint, self._execution.req.fingerprint)
 
     def _close(self, outcome: str) -> None:
@@ -392,7 +398,7 @@
         self._ctx.loads.ended(self.endpoint.id, self._work_s)
         self._ctx.releases.ended(req.service, self._version)
         self._ctx.sessions.ended(req.service, req.call.session, now)
-        self._end_suspicion()
+        self._leave_endpoint()
         if self._channel is not None:
             self._pool.release(self._channel, now)
         self._execution.trace.attempts.append(
--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -24,7 +24,7 @@
     RelayRequest,
     RelayStream,
 )
-from knapweedhinge.http1 import EventSplitter, StreamEvent
+from knapweedhinge.http1 import AnswerBrokenError, EventSplitter, StreamEvent
 from knapweedhinge.routing.load import EndpointView
 from knapweedhinge.routing.placement import (
     SERVICE_WORK,
@@ -100,7 +100,7 @@
     chooses the model. ``attempts`` holds the failed attempts and ``tried`` the ids of
     their endpoints; ``runs`` counts the attempts that may have run, ``dropped_runs``
     those of them whose answers were dropped to ask a larger model.
-    ``crash_suspect`` is the endpoint that broke off the last attempt unanswered.
+    ``crash_suspect`` is the endpoint that broke off the last attempt.
     ``last_event_number`` and ``sent_bytes`` say how much of a stream the caller has
     already received.
     """
@@ -382,11 +382,11 @@
             data = await attempt.read()
             if not data:
                 if splitter.has_partial_event:
-                    raise self._stream_broken(
+                    raise self._stream_cut(
                         attempt, "the stream ended in the middle of an event"
                     )
                 if attempt.is_empty and attempt.may_be_cut:
-                    raise self._stream_broken(
+                    raise self._stream_cut(
                         attempt, "the stream ended before its first event"
                     )
                 return None
@@ -427,6 +427,13 @@
         self.trace.events += len(accepted)
         return data
 
+    @staticmethod
+    def _stream_cut(attempt: RelayAttempt, message: str) -> AnswerBrokenError:
+        """Return the error of a stream that ended too soon, as it does in a crash."""
+        return AnswerBrokenError(
+            message, code=ResultCode.STREAM_BROKEN, endpoint_id=attempt.endpoint.id
+        )
+
     @staticmethod
     def _stream_broken(attempt: RelayAttempt, message: str) -> EndpointError:
         return EndpointError(
--- a/knapweedhinge/routing/crashes.py
+++ b/knapweedhinge/routing/crashes.py
@@ -45,8 +45,9 @@
     """Crash of an engine process on a VM that is still alive.
 
     ``fingerprints`` names the requests in flight at the time ``at``, and ``calls``
-    those among them that have suspected parts. A node records only its own requests;
-    merging unites the sets of all nodes.
+    those among them that have suspected parts. ``answering`` names those of which all
+    copies had sent a part of their answer before. A node records only its own
+    requests; merging unites the sets of all nodes.
     """
 
     endpoint_id: str
@@ -54,6 +55,7 @@
     at: float
     fingerprints: frozenset[str] = frozenset()
     calls: frozenset[UnansweredCall] = frozenset()
+    answering: frozenset[str] = frozenset()
 
     @property
     def id(self) -> str:
@@ -74,8 +76,14 @@
             at=min(self.at, other.at),
             fingerprints=united,
             calls=_limited(self.calls | other.calls),
+            answering=united - self.unanswered - other.unanswered,
         )
 
+    @property
+    def unanswered(self) -> frozenset[str]:
+        """Return the requests of which a copy had sent nothing of its answer."""
+        return self.fingerprints - self.answering
+
 
 def _limited(calls: frozenset[UnansweredCall]) -> frozenset[UnansweredCall]:
     if len(calls) <= MAX_CALLS_PER_CRASH:
--- a/knapweedhinge/routing/quarantine.py
+++ b/knapweedhinge/routing/quarantine.py
@@ -12,6 +12,9 @@
 from knapweedhinge.routing.crashes import Clearance, Crash, CrashEvidence, Trial
 
 STRIKES_TO_QUARANTINE = 2  # crashes blamed on a request before it may be refused
+# The same if it was answering at some of them. Long answers are under way at more
+# crashes of another cause, and each such crash is one more of at most a few runs.
+STRIKES_WHILE_ANSWERING = 3
 BURST_WINDOW_S = 30.0  # crashes at most this far apart may belong to the same burst
 # Fewest other, unrelated crashes that make a crash part of a burst, as a share of the
 # number of endpoints, and the lower limit of their number.
@@ -50,10 +53,10 @@
     """Decide how requests may run, by the crashes at which they were in flight.
 
     Requests are named by their fingerprint. A request blamed for one crash runs alone.
-    It is refused if it is blamed for at least two and no other request, still a
-    suspect, was in flight at all of them. A crash isn't blamed on its requests if many
-    endpoints without a request in common crashed at about the same time, since another
-    cause is then more likely.
+    It is refused if it is blamed for at least two before any part of its answer, or
+    three in all, and no other request, still a suspect, was in flight at all of them. A
+    crash isn't blamed on its requests if many endpoints without a request in common
+    crashed at about the same time, since another cause is then more likely.
     """
 
     def __init__(self, evidence: CrashEvidence | None = None):
@@ -118,9 +121,12 @@
     ) -> Verdict:
         strikes = tuple(crash.id for crash in blamed)
         until = blamed[-1].at + limits.quarantine_s
-        if len(blamed) >= STRIKES_TO_QUARANTINE and self._is_only_common_suspect(
-            fingerprint, blamed
-        ):
+        unanswered = sum(fingerprint not in crash.answering for crash in blamed)
+        enough = (
+            unanswered >= STRIKES_TO_QUARANTINE
+            or len(blamed) >= STRIKES_WHILE_ANSWERING
+        )
+        if enough and self._is_only_common_suspect(fingerprint, blamed):
             return Verdict(Standing.QUARANTINED, strikes, until)
         on_trial = self._on_trial(fingerprint, blamed[-1], now)
         standing = Standing.ON_TRIAL if on_trial else Standing.ALONE
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -52,6 +52,9 @@
     - ``crash_body``: crash when a call with this body begins to run.
     - ``crash_part``: crash when a call whose prompt contains the part with this id
       begins to run.
+    - ``crash_after``: with one of these two, crash only after so many events of a
+      stream, or so many bytes of another answer's body.
+    - ``crash_late_s``: with ``crash_after``, seconds between these and the crash.
 
     ``unframed`` and ``stray`` apply only to answers that aren't streams,
     ``cut_in_event``, ``stall_before_event``, ``drip_before_event`` and ``close_after``
@@ -80,6 +83,8 @@
     retry_after: str = ""
     crash_body: bytes | None = None
     crash_part: bytes | None = None
+    crash_after: int | None = None
+    crash_late_s: float = 0.0
 
 
 @dataclass
@@ -174,8 +179,7 @@
         if self.faults.late_s:
             await asyncio.sleep(self.faults.late_s)
         if self._is_crashed_by(exchange):
-            self.crashed = True
-            await self._server.stop()
+            await self._crash(exchange)
             return
         if self.faults.mute:
             await asyncio.sleep(3600)
@@ -207,6 +211,21 @@
         body, part = self.faults.crash_body, self.faults.crash_part
         return exchange.body == body or part in part_ids
 
+    async def _crash(self, exchange: Exchange) -> None:
+        """Send the first part of the answer if ``crash_after`` says so, and crash."""
+        count, headers = self.faults.crash_after, self._response_headers(exchange)
+        if count is not None and exchange.get(b"knapweedhinge-model") is not None:
+            first = int(exchange.get(b"last-event-id") or 0) + 1
+            exchange.begin(200, (*headers, SSE_CONTENT_TYPE))
+            for number in range(first, first + count):
+                exchange.send(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        elif count is not None:
+            exchange.begin(200, headers, b"%s %s" % (self.id.encode(), b"x" * count))
+        if count is not None:
+            await asyncio.sleep(self.faults.crash_late_s)
+        self.crashed = True
+        await self._server.stop()
+
     def _response_headers(self, exchange: Exchange) -> tuple:
         headers = [(STAMP_HEADER, self.id.encode())]
         request_id = exchange.get(REQUEST_ID_HEADER.lower())
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import time
+from functools import partial
 
 import pytest
 
+from knapweedhinge.conf.relay import Promises
 from knapweedhinge.filters.relay.screen import HOLD_FRACTIONS
 from knapweedhinge.routing.endpointhealth import is_paused
 from knapweedhinge.routing.load import EndpointView
@@ -17,6 +19,7 @@
     chat,
     exchange,
     request,
+    route,
     two_nodes,
 )
 
@@ -95,6 +98,56 @@
     assert sum(shop.crashed for shop in shops) == 2
 
 
+LATE_CRASHES = {
+    # the call, and fields of its route
+    "resumable stream": (chat, {}),
+    "stream that may not resume": (chat, {"resumable": False}),
+    "safe call": (partial(request, "/look/x"), {}),
+    "unsafe call": (partial(request, "/pay/x"), {}),
+}
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.3])
+@pytest.mark.parametrize("call,fields", LATE_CRASHES.values(), ids=LATE_CRASHES)
+async def test_a_call_that_crashes_endpoints_in_mid_answer_is_refused(
+    call, fields, late_s
+):
+    """Once a part of its answer had arrived, a call counted as harmless (review/1)."""
+    service = "engine" if call is chat else "shop"
+    replicas = [Replica(f"e-{n}", service) for n in range(8)]
+    for replica in replicas:
+        replica.faults.crash_body = FATAL
+        replica.faults.crash_after, replica.faults.crash_late_s = 1, late_s
+    routes = [route("look", "safe"), route("pay", "unsafe")]
+    routes.append(route("chat", "stream", **fields))
+    async with World(replicas, catalog(routes=routes)) as world:
+        for number in range(6):
+            await world.ask(call(body=FATAL, request_id=f"f{number}"))
+        refused = await world.ask(call(body=FATAL, request_id="f9"))
+        other = await world.ask(call(request_id="sound"))
+    assert crashes(replicas) <= 3
+    assert (refused.status, other.status) == (503, 200)
+
+
+async def test_a_stream_cut_off_by_unrelated_crashes_goes_on():
+    """A run that has begun is weaker evidence than one that never answered."""
+    replicas = [Replica(f"e-{n}", "engine", events=40) for n in range(3)]
+    promises = Promises(retry_allowance=200.0)
+    async with World(replicas, catalog(), promises=promises) as world:
+        running = asyncio.create_task(world.ask(chat(request_id="long")))
+        for _ in range(2):
+            await world.until(lambda: any(r.calls and not r.crashed for r in replicas))
+            hit = next(r for r in replicas if r.calls and not r.crashed)
+            await asyncio.sleep(0.02)
+            hit.crashed = True
+            await hit.stop()
+        reply = await running
+        again = await world.ask(chat(request_id="again"))
+    assert (reply.status, reply.whole) == (200, True)
+    assert reply.numbers == list(range(1, 41))
+    assert (again.status, again.whole) == (200, True)
+
+
 def tainted(number: int, first: str = "aa") -> bytes:
     """Return a chat call with the part that crashes engines; no two are alike."""
     prefix = f"{first}:60,dd:20,own{number}:40"
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -20,8 +20,9 @@
 ENDPOINTS = 10
 
 
-def crash(number, names, at=0.0):
-    return Crash(f"e{number}", "i1", at, frozenset(names))
+def crash(number, names, at=0.0, answering=""):
+    names, answering = frozenset(names), frozenset(answering)
+    return Crash(f"e{number}", "i1", at, names, answering=answering)
 
 
 def standing(records, name="p", now=60.0):
@@ -48,6 +49,14 @@
         ([crash(1, "pab"), Trial("p", 5.0)], 6.0 + MAX_TRIAL_S, Standing.ALONE),
         ([crash(1, "pab"), Trial("p", 5.0, True)], 60.0, Standing.ALONE),
         ([crash(1, "pab"), crash(2, "p", 40.0)], 60.0, Standing.QUARANTINED),
+        ([crash(n, "p", n, "p") for n in (1, 2)], 60.0, Standing.ALONE),
+        ([crash(n, "p", n, "p") for n in (1, 2, 3)], 60.0, Standing.QUARANTINED),
+        ([crash(1, "p"), crash(2, "p", 1, "p")], 60.0, Standing.ALONE),
+        (
+            [crash(1, "p"), crash(1, "p", 0, "p"), crash(2, "p")],
+            60.0,
+            Standing.QUARANTINED,
+        ),
         ([crash(1, "pab"), crash(2, "p", 40.0)], 3700.0, Standing.NORMAL),
         ([crash(1, "pab"), Clearance("p", 5.0)], 60.0, Standing.NORMAL),
         (
@@ -71,6 +80,10 @@
         "trial too long",
         "trial ended",
         "twice",
+        "twice while answering",
+        "three times while answering",
+        "once while answering",
+        "one copy while answering",
         "expired",
         "cleared",
         "cleared between",
@@ -100,6 +113,7 @@
         st.just("i1"),
         st.integers(0, 5),
         st.frozensets(st.sampled_from("abc"), max_size=3),
+        answering=st.frozensets(st.sampled_from("abc"), max_size=3),
     ),
     st.builds(Clearance, st.sampled_from("abc"), st.integers(0, 5)),
     st.builds(Trial, st.sampled_from("abc"), st.integers(0, 5), st.booleans()),
