Keep records of crashes in the store, so that they outlive all nodes

Cause: what nodes know of such a request lives in their memory and travels between them; the last one takes it along.

Change: two nodes in different failure domains write a record of each crash, the suspects that no answer has cleared, and a node whose calls it cut off writes it after a second if it isn't one of them. Each has rows of its own, written under the condition of the version it knows. Rows lose cleared suspects and are deleted when nothing is left or after quarantine_s. A node reads all records before it takes calls.

--- /dev/null
+++ b/knapweedhinge/controllers/crashrecords.py
@@ -0,0 +1,146 @@
+"""Decide which records of crashes a node writes to the store, and which it deletes.
+
+Evidence of crashes lives in the memory of the nodes. Records of it outlive a loss of
+all nodes at once. Made for at most 1,024 open crashes, as many as a node knows.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from knapweedhinge.routing.crashes import Crash, UnansweredCall
+
+# Shortest time in seconds between a write of a record and one that only removes
+# suspects from it: they are cleared one after another.
+TRIM_INTERVAL_S = 5.0
+
+
+class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The suspects of one crash as one node knows them.
+
+    ``writer`` is the VM of that node, ``at`` the wall-clock time of the crash in
+    seconds. ``suspects`` maps fingerprints to whether the request was answering,
+    ``calls`` maps those of calls with suspected parts in their prompts to the parts.
+    """
+
+    writer: str
+    endpoint_id: str
+    incarnation: str
+    at: float
+    suspects: dict[str, bool]
+    calls: tuple[tuple[str, tuple[str, ...]], ...] = ()
+
+    @property
+    def crash(self) -> Crash:
+        """Return the crash with these suspects."""
+        answering = frozenset(name for name, began in self.suspects.items() if began)
+        calls = frozenset(UnansweredCall(name, parts) for name, parts in self.calls)
+        return Crash(
+            self.endpoint_id,
+            self.incarnation,
+            self.at,
+            frozenset(self.suspects),
+            calls,
+            answering,
+        )
+
+
+def record_of(crash: Crash, writer: str) -> CrashRecord:
+    """Return the record of a crash that the VM ``writer`` keeps."""
+    return CrashRecord(
+        writer,
+        crash.endpoint_id,
+        crash.incarnation,
+        crash.at,
+        {name: name in crash.answering for name in sorted(crash.fingerprints)},
+        tuple(sorted((call.fingerprint, call.parts) for call in crash.calls)),
+    )
+
+
+def record_key(crash_id: str, writer: str) -> str:
+    """Return the row key of a record, 32 hex digits.
+
+    Each writer has rows of its own, so that none overwrites what it doesn't know.
+    """
+    return xxhash.xxh3_128_hexdigest(f"{crash_id}\0{writer}".encode())
+
+
+@dataclass(frozen=True, slots=True)
+class _Stored:
+    """A record in the store; ``crash`` is None once it was deleted."""
+
+    crash: Crash | None
+    version: int
+    written_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class RecordChange:
+    """A record to write, or to delete if ``crash`` is None.
+
+    ``version`` is that of the stored row, 0 if there is none.
+    """
+
+    crash_id: str
+    crash: Crash | None
+    version: int
+
+
+class CrashRecords:
+    """The records that this node has in the store, and what has to change in them.
+
+    Times are in seconds on the node's monotonic clock.
+    """
+
+    def __init__(self):
+        self._stored: dict[str, _Stored] = {}
+
+    def __contains__(self, crash_id: str) -> bool:
+        known = self._stored.get(crash_id)
+        return known is not None and known.crash is not None
+
+    @property
+    def crash_ids(self) -> tuple[str, ...]:
+        """Return the ids of the crashes of which a record is stored."""
+        return tuple(crash_id for crash_id in self._stored if crash_id in self)
+
+    def note(
+        self, crash_id: str, crash: Crash | None, version: int, now: float
+    ) -> None:
+        """Note what the store holds: the row's content and version."""
+        if crash is None and not version:
+            self._stored.pop(crash_id, None)
+        else:
+            self._stored[crash_id] = _Stored(crash, version, now)
+
+    def due(
+        self, crash_ids: Iterable[str], open_crashes: dict[str, Crash], now: float
+    ) -> tuple[RecordChange, ...]:
+        """Return the changes that bring the records of these crashes up to date.
+
+        ``open_crashes`` holds the crashes with the suspects that aren't cleared; the
+        record of any other crash is deleted. New suspects are due at once.
+        """
+        changes = []
+        for crash_id in crash_ids:
+            wanted, known = open_crashes.get(crash_id), self._stored.get(crash_id)
+            if known is None and wanted is None:
+                continue
+            known = known or _Stored(None, 0, float("-inf"))
+            rested = now - known.written_at >= TRIM_INTERVAL_S
+            if _adds(wanted, known.crash) or (wanted != known.crash and rested):
+                changes.append(RecordChange(crash_id, wanted, known.version))
+        return tuple(changes)
+
+
+def _adds(wanted: Crash | None, stored: Crash | None) -> bool:
+    """Return whether a crash has evidence that its stored record lacks."""
+    if wanted is None or stored is None:
+        return wanted is not None
+    return not (
+        wanted.fingerprints <= stored.fingerprints
+        and wanted.unanswered <= stored.unanswered
+        and wanted.calls <= stored.calls
+    )
--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 from loguru import logger
@@ -73,7 +73,8 @@
     A request may run normally, only alone, or not. The verdict on a request depends on
     the evidence of all nodes. Requests are identified by their fingerprint. ``now`` is
     in seconds on the node's monotonic clock; ``epoch_s`` is added to it to get
-    wall-clock time. ``updates_for_peers`` emits the updates to send to peers.
+    wall-clock time. ``updates_for_peers`` emits the updates to send to peers, and
+    ``evidence_added`` the id of each crash with new suspects, also those of peers.
     """
 
     def __init__(self, epoch_s: float = 0.0):
@@ -92,6 +93,7 @@
         # Monotonic time in seconds at which an isolation ends, by endpoint id.
         self._isolated: dict[str, float] = {}
         self.updates_for_peers: Subject = Subject()
+        self.evidence_added: Subject = Subject()
 
     def started(self, endpoint: EndpointView, fingerprint: str) -> None:
         """Note that a request with this fingerprint is sent to an engine."""
@@ -201,6 +203,50 @@
         """Return all known crashes."""
         return tuple(self._quarantine.evidence.crashes.values())
 
+    @property
+    def own_crash_ids(self) -> frozenset[str]:
+        """Return the ids of the crashes that cut off requests of this node."""
+        return frozenset(self._own_crashes)
+
+    def open_crashes(self, limits: VotedLimits, now: float) -> dict[str, Crash]:
+        """Return what still counts of the known crashes, by their ids.
+
+        That is the requests that weren't answered since, and the suspected parts.
+        """
+        evidence, found = self._quarantine.evidence, {}
+        for crash in evidence.crashes.values():
+            if self.is_expired(crash.at, limits, now):
+                continue
+            fingerprints = frozenset(
+                name
+                for name in crash.fingerprints
+                if evidence.last_cleared(name) < crash.at
+            )
+            suspected = self._prompts.suspected_parts(crash.id)
+            calls = (
+                replace(call, parts=tuple(p for p in call.parts if p in suspected))
+                for call in crash.calls
+            )
+            calls = frozenset(call for call in calls if call.parts)
+            if fingerprints or calls:
+                found[crash.id] = replace(
+                    crash,
+                    fingerprints=fingerprints,
+                    calls=calls,
+                    answering=crash.answering & fingerprints,
+                )
+        return found
+
+    def is_expired(self, at: float, limits: VotedLimits, now: float) -> bool:
+        """Return whether evidence of the wall-clock time ``at`` counts no more."""
+        return at <= self._wall(now) - limits.quarantine_s
+
+    def restore(self, crash: Crash, limits: VotedLimits, now: float) -> None:
+        """Add a crash that was recorded before, by any node."""
+        if not self.is_expired(crash.at, limits, now):
+            self._quarantine.evidence.add_crash(crash)
+            self._share_with_prompts(crash.id, min(now, crash.at - self._epoch_s))
+
     def completed(self, fingerprint: str, now: float) -> None:
         """Clear a suspect whose request was answered without a crash."""
         clearance = self._quarantine.completed(fingerprint, self._wall(now))
@@ -241,6 +287,7 @@
             self._share_with_prompts(crash.id, now)
             if own:
                 self._add_own(crash)
+            self.evidence_added.on_next(crash.id)
         self._prompts.answered(update.entries.answered_parts, now)
         for isolation in update.isolations:
             if isolation.ended:
@@ -268,6 +315,7 @@
         evidence.add_crash(crash)
         self._share_with_prompts(crash.id, now)
         self.updates_for_peers.on_next(_crash_update(self._add_own(crash)))
+        self.evidence_added.on_next(crash.id)
         return evidence.crashes.get(crash.id, crash)
 
     def _add_own(self, crash: Crash) -> Crash:
--- /dev/null
+++ b/knapweedhinge/node/crash_recorder.py
@@ -0,0 +1,199 @@
+"""Keep the evidence of crashes in the platform's store, so that it outlives the nodes.
+
+Two nodes keep a record of each crash; a node whose calls it cut off keeps one too if it
+alone might know of them. A node reads all records before it takes calls.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from knapweedhinge.controllers.crashrecords import (
+    CrashRecord,
+    CrashRecords,
+    RecordChange,
+    record_key,
+    record_of,
+)
+from knapweedhinge.core.codes import ResultCode
+from knapweedhinge.core.exceptions import PlatformError, RowConflictError
+from knapweedhinge.filters.relay import RelayContext
+from knapweedhinge.platform import wire
+from knapweedhinge.platform.store import Put, Row, Store
+
+SCAN_INTERVAL_S = 5.0  # between two looks at all records, for those to trim or delete
+# Writes a second by all nodes together, should all have noticed a crash. The smallest
+# store takes four times that.
+MAX_WRITES_PER_S = 100
+MAX_ROWS_PER_WRITE = 16  # of at most 64 KiB each; the store takes 1 MB at once
+# Seconds after which a node records the crashes of its own calls although others are
+# to do so: they may not have heard of them.
+OWN_RECORD_DELAY_S = 1.0
+MAX_PAUSE_DOUBLINGS = 3  # of the pause after a failed write
+
+
+class CrashRecorder:
+    """Write the records that this node keeps, and read those of all nodes.
+
+    ``keeps`` returns whether this node is one of the two that keep a crash's record.
+    """
+
+    def __init__(self, ctx: RelayContext, store: Store, keeps: Callable[[str], bool]):
+        self._ctx = ctx
+        self._quarantine = ctx.quarantine
+        self._clock = ctx.clock
+        self._vm = ctx.settings.listen.vm
+        self._store = store
+        self._keeps = keeps
+        self._records = CrashRecords()
+        # Crashes with new evidence that is not recorded yet, and since when.
+        self._changed: dict[str, float] = {}
+        self._rows_of_others: dict[str, CrashRecord] = {}  # as read, by row key
+        self._woken = asyncio.Event()
+        ctx.quarantine.evidence_added.subscribe(self._note_evidence)
+
+    async def load(self) -> None:
+        """Read the records of all nodes; raise PlatformError if the store fails."""
+        found = await self._store.read(wire.CRASHES_TABLE)
+        now = self._clock()
+        for row in found.rows:
+            record = _decoded(row)
+            if record is None:
+                continue
+            if record.writer == self._vm:
+                self._records.note(record.crash.id, record.crash, row.version, now)
+            else:
+                self._rows_of_others[row.key] = record
+            self._quarantine.restore(record.crash, self._ctx.limits, now)
+        self._changed.clear()
+        if found.rows:
+            logger.bind(records=len(found.rows)).info("crash records read")
+
+    async def run(self) -> None:
+        """Write records when they change, without end."""
+        failures, scanned_at = 0, self._clock()
+        while True:
+            wait_s = OWN_RECORD_DELAY_S if self._changed else SCAN_INTERVAL_S
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._woken.wait()
+            except TimeoutError:
+                pass
+            self._woken.clear()
+            # All nodes may have noticed the same crashes.
+            longest_delay_s = self._ctx.fleet.nodes / MAX_WRITES_PER_S
+            await asyncio.sleep(self._ctx.rng.uniform(0, longest_delay_s))
+            now = self._clock()
+            scan = now - scanned_at >= SCAN_INTERVAL_S
+            try:
+                await self.write_due(now, scan=scan)
+                failures = 0
+                scanned_at = now if scan else scanned_at
+            except PlatformError as exc:
+                logger.bind(code=exc.code.number).info(f"crash not recorded: {exc}")
+                await self._store.back_off(min(failures, MAX_PAUSE_DOUBLINGS))
+                failures += 1
+                self._woken.set()
+
+    async def write_due(self, now: float, *, scan: bool) -> None:
+        """Write the records that are due; with ``scan`` look at those of all crashes.
+
+        Raise PlatformError if the store fails; what was not written stays due.
+        """
+        open_crashes = self._quarantine.open_crashes(self._ctx.limits, now)
+        looked_at = tuple(open_crashes) if scan else tuple(self._changed)
+        wanted = [crash_id for crash_id in looked_at if self._is_kept(crash_id, now)]
+        if scan:
+            wanted += [i for i in self._records.crash_ids if i not in open_crashes]
+        changes = self._records.due(dict.fromkeys(wanted), open_crashes, now)
+        for start in range(0, len(changes), MAX_ROWS_PER_WRITE):
+            await self._write(changes[start : start + MAX_ROWS_PER_WRITE], now)
+        for crash_id in looked_at:
+            waits = self._is_own(crash_id) and crash_id in open_crashes
+            if crash_id in self._records or not waits:
+                self._changed.pop(crash_id, None)
+        if scan:
+            await self._delete_expired(now)
+
+    def _is_kept(self, crash_id: str, now: float) -> bool:
+        if self._keeps(crash_id) or crash_id in self._records:
+            return True
+        since = self._changed.get(crash_id, now)
+        return self._is_own(crash_id) and now - since >= OWN_RECORD_DELAY_S
+
+    def _is_own(self, crash_id: str) -> bool:
+        return crash_id in self._quarantine.own_crash_ids
+
+    def _note_evidence(self, crash_id: str) -> None:
+        self._changed.setdefault(crash_id, self._clock())
+        if self._keeps(crash_id) or crash_id in self._records:
+            self._woken.set()
+
+    async def _write(self, changes: tuple[RecordChange, ...], now: float) -> None:
+        puts = tuple(
+            Put(
+                wire.CRASHES_TABLE,
+                record_key(change.crash_id, self._vm),
+                change.crash
+                and msgspec.msgpack.encode(record_of(change.crash, self._vm)),
+                change.version,
+            )
+            for change in changes
+        )
+        try:
+            version = (await self._store.write(puts)).version
+        except RowConflictError as exc:
+            # A write without an answer took effect after all. Its version is known now.
+            stored = {row.key: row for row in exc.rows}
+            for change, put in zip(changes, puts, strict=True):
+                row = stored.get(put.key)
+                record = row and _decoded(row)
+                self._records.note(
+                    change.crash_id,
+                    record and record.crash,
+                    row.version if row else 0,
+                    now,
+                )
+            raise
+        except PlatformError as exc:
+            if exc.code is not ResultCode.PLATFORM_PROTOCOL:
+                raise
+            logger.bind(crashes=[change.crash_id for change in changes]).warning(
+                f"crash records refused by the store: {exc}"
+            )
+            version = 0
+        for change in changes:
+            deleted = change.crash is None
+            self._records.note(
+                change.crash_id, change.crash, 0 if deleted else version, now
+            )
+
+    async def _delete_expired(self, now: float) -> None:
+        """Delete the records that nodes left behind and that count no more."""
+        expired = [
+            key
+            for key, record in self._rows_of_others.items()
+            if self._quarantine.is_expired(record.at, self._ctx.limits, now)
+        ]
+        puts = [
+            Put(wire.CRASHES_TABLE, key, None)
+            for key in expired
+            if self._keeps(self._rows_of_others[key].crash.id)
+        ]
+        for start in range(0, len(puts), MAX_ROWS_PER_WRITE):
+            await self._store.write(tuple(puts[start : start + MAX_ROWS_PER_WRITE]))
+        for key in expired:
+            del self._rows_of_others[key]
+
+
+def _decoded(row: Row) -> CrashRecord | None:
+    """Return the record in a row, None for a deleted or, with a log line, a bad one."""
+    if row.value is None:
+        return None
+    try:
+        return msgspec.msgpack.decode(row.value, type=CrashRecord)
+    except msgspec.MsgspecError as exc:
+        logger.bind(key=row.key).warning(f"malformed crash record: {exc}")
+        return None
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -41,6 +41,7 @@
 from knapweedhinge.endpoints.pools import EndpointPools
 from knapweedhinge.filters.relay import RelayContext
 from knapweedhinge.http1 import Exchange, Limits, Server
+from knapweedhinge.node.crash_recorder import CrashRecorder
 from knapweedhinge.node.relaypeers import REPORT_INTERVAL_S, RelayPeers
 from knapweedhinge.node.trial_coordinator import TrialCoordinator
 from knapweedhinge.platform import wire
@@ -170,6 +171,9 @@
         self.peers = RelayPeers(
             self.ctx, self.store, self.feeds, self.release_controller, self.trials
         )
+        self.crash_recorder = CrashRecorder(
+            self.ctx, self.store, self.peers.keeps_crash
+        )
         self.fleet.changes.subscribe(self._handle_fleet_change)
         self._calls = CallHandler(self.ctx)
         self.caller_server = self._build_server(self._calls)
@@ -204,6 +208,7 @@
             revision=self._revision(), endpoints=len(self.fleet.view.endpoints.by_id)
         ).info("serving")
         self._spawn(self.peers.join())
+        self._spawn(self.crash_recorder.run())
 
     async def stop(self, now: float) -> None:
         """Leave the list of nodes, finish open calls and end before SIGKILL.
@@ -295,7 +300,9 @@
         await self.feeds.load(wire.OPERATOR_TABLE)
         while self.fleet.view.catalog is None:
             await self.feeds.poll(wire.OPERATOR_TABLE)
-        await self.feeds.load(wire.ENDPOINTS_TABLE)
+        await asyncio.gather(
+            self.feeds.load(wire.ENDPOINTS_TABLE), self.crash_recorder.load()
+        )
         # The status table holds roll-out stages, needed once a roll-out was ordered.
         if self.fleet.view.orders:
             await self.feeds.load(wire.STATUS_TABLE)
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -47,6 +47,8 @@
 # Roles in the assignment of tasks to nodes.
 READER_ROLE = "store-reader"
 AGGREGATOR_ROLE = "work-board"
+CRASH_RECORD_ROLE = "crash-record"
+CRASH_RECORDS = 2  # nodes that keep a record of each crash in the store
 REPORT_METHOD = "work"  # peer method that sends a load report to the aggregator
 MAX_LOGGED_NAMES = 20  # nodes named in a log line about a membership change
 T = TypeVar("T")
@@ -144,6 +146,19 @@
         owner = self._trials.owner(service)
         return owner is not None and owner.vm == self._vm
 
+    def keeps_crash(self, crash_id: str) -> bool:
+        """Return whether this node keeps a crash's record in the store.
+
+        Two nodes do, in different failure domains, since the store may turn one of them
+        away. A node without peers keeps all records.
+        """
+        if self._peers is None:
+            return True
+        keepers = self._peers.assignments.owners(
+            CRASH_RECORD_ROLE, crash_id, CRASH_RECORDS, distinct_failure_domains=True
+        )
+        return not keepers or self._vm in {keeper.vm for keeper in keepers}
+
     async def report(self) -> None:
         """Send peers this node's reader status, its load and its part in roll-outs."""
         if self._peers is None:
--- a/knapweedhinge/platform/wire.py
+++ b/knapweedhinge/platform/wire.py
@@ -47,6 +47,7 @@
 STAGE_PREFIX = "stage/"
 PEERS_TABLE = "roster"
 SECRETS_TABLE = "secrets"
+CRASHES_TABLE = "crashes"  # records of crashes, written and read by nodes
 
 
 class _Camel(msgspec.Struct, frozen=True, rename="camel"):
--- a/knapweedhinge/routing/promptquarantine.py
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -129,6 +129,15 @@
         self._review(limits, now)
         return self._explained
 
+    def suspected_parts(self, crash_id: str) -> frozenset[str]:
+        """Return the parts that a crash still counts against."""
+        known = self._crashes.get(crash_id)
+        return frozenset(
+            part
+            for part in (known.parts if known else ())
+            if crash_id in self._strikes.get(part, ())
+        )
+
     def suspected_since(self, parts: tuple[str, ...]) -> float | None:
         """Return when the last crash happened that suspects a part, None if none does.
 
