Serve a sound call that many send after unrelated crashes

Callers saw (in tests, not reported): a call that many send at once is in flight at every crash, also of another cause, and the only one that all of them share. It was refused, for an hour if no copy was left that could clear it.

Cause: only a complete answer lifts the verdict, and the verdict keeps all calls from being answered.

Change: a call that a node answered in the last 5 s is no suspect there; an answer just before the news of a crash counts; a quarantined call is tested by one run after 5 s, or ten times the span of its crashes, never after a span of 30 s. So a call that crashes endpoints gets one late retry at most before quarantine_s, of the three that are allowed. A clearance is told to peers once for each crash, not at each answer for an hour.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -3,7 +3,7 @@
 An engine is the process that serves an endpoint; its incarnation changes at a restart.
 """
 
-from collections import Counter
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -30,6 +30,10 @@
 # Seconds for which requests are remembered after their connection to an engine broke.
 # Until then it turns out whether the engine crashed.
 BROKEN_KEPT_S = 2.0
+# Time in seconds after the last complete answer in which a request is no suspect. One
+# that crashes endpoints has none.
+PRESUMED_SOUND_S = 5.0
+MAX_ANSWERED = 8192  # number of requests whose last complete answer is remembered
 
 
 class Isolation(msgspec.Struct, frozen=True, array_like=True):
@@ -73,12 +77,15 @@
     A request may run normally, only alone, or not. The verdict on a request depends on
     the evidence of all nodes. Requests are identified by their fingerprint. ``now`` is
     in seconds on the node's monotonic clock; ``epoch_s`` is added to it to get
-    wall-clock time. ``updates_for_peers`` emits the updates to send to peers, and
-    ``evidence_added`` the id of each crash with new suspects, also those of peers.
+    wall-clock time. ``stagger_s`` is added to the time of a request's next retrial, and
+    differs between nodes, so that one of them tests it. ``updates_for_peers`` emits the
+    updates to send to peers, and ``evidence_added`` the id of each crash with new
+    suspects, also those of peers.
     """
 
-    def __init__(self, epoch_s: float = 0.0):
+    def __init__(self, epoch_s: float = 0.0, stagger_s: float = 0.0):
         self._epoch_s = epoch_s
+        self._stagger_s = stagger_s
         self._quarantine = Quarantine()
         self._prompts = PromptQuarantine()
         self._last_blamed: frozenset[str] = frozenset()
@@ -90,6 +97,8 @@
         self._broken: dict[tuple[str, str], list[_BrokenCall]] = {}
         # Crashes with the requests of this node alone, by the crash's id.
         self._own_crashes: dict[str, Crash] = {}
+        # Monotonic time in seconds of the last complete answer, by fingerprint.
+        self._answered_at: OrderedDict[str, float] = OrderedDict()
         # Monotonic time in seconds at which an isolation ends, by endpoint id.
         self._isolated: dict[str, float] = {}
         self.updates_for_peers: Subject = Subject()
@@ -141,6 +150,8 @@
             for process, broken in self._broken.items()
             if (kept := [item for item in broken if item.at > oldest])
         }
+        if self._is_presumed_sound(fingerprint, now):
+            return
         process = endpoint.id, endpoint.incarnation
         call = UnansweredCall(fingerprint, self._prompts.suspects(parts, now))
         broken = _BrokenCall(now, call, answering)
@@ -187,13 +198,23 @@
         """
         if not self._quarantine.evidence.of(fingerprint):
             return Verdict(Standing.NORMAL)
-        return self._quarantine.verdict(
+        verdict = self._quarantine.verdict(
             fingerprint,
             limits,
             endpoints,
             self._wall(now),
             self._prompts.explained(limits, now),
         )
+        return replace(verdict, retrial_at=verdict.retrial_at + self._stagger_s)
+
+    def retrial_due_s(self, verdict: Verdict, now: float) -> float:
+        """Return the seconds until a quarantined request may be tested by a run."""
+        return max(0.0, verdict.retrial_at - self._wall(now))
+
+    def retrial_started(self, fingerprint: str, now: float) -> None:
+        """Note that a quarantined request runs once more, to test it."""
+        trial = self._quarantine.trial_started(fingerprint, self._wall(now))
+        self._publish_trial(trial)
 
     def known_updates(self) -> tuple[KeyedUpdate, ...]:
         """Return this node's part in all crashes, for peers that it has just joined."""
@@ -249,6 +270,13 @@
 
     def completed(self, fingerprint: str, now: float) -> None:
         """Clear a suspect whose request was answered without a crash."""
+        self._answered_at[fingerprint] = now
+        self._answered_at.move_to_end(fingerprint)
+        if len(self._answered_at) > MAX_ANSWERED:
+            self._answered_at.popitem(last=False)
+        self._clear(fingerprint, now)
+
+    def _clear(self, fingerprint: str, now: float) -> None:
         clearance = self._quarantine.completed(fingerprint, self._wall(now))
         if clearance is not None:
             self._publish_clearance(clearance)
@@ -287,6 +315,10 @@
             self._share_with_prompts(crash.id, now)
             if own:
                 self._add_own(crash)
+            for name in crash.fingerprints & self._answered_at.keys():
+                # The answer may have come before the news of the crash.
+                if self._wall(self._answered_at[name]) >= crash.at:
+                    self._clear(name, self._answered_at[name])
             self.evidence_added.on_next(crash.id)
         self._prompts.answered(update.entries.answered_parts, now)
         for isolation in update.isolations:
@@ -295,10 +327,16 @@
             else:
                 self._isolated[isolation.endpoint_id] = now + MAX_TRIAL_S
 
+    def _is_presumed_sound(self, fingerprint: str, now: float) -> bool:
+        answered_at = self._answered_at.get(fingerprint, float("-inf"))
+        return now - answered_at <= PRESUMED_SOUND_S
+
     def _in_flight(self, process: tuple[str, str], now: float) -> list["_BrokenCall"]:
         answering = Counter(self._answering.get(process, ()))
         calls = []
         for name in self._running.get(process, ()):
+            if self._is_presumed_sound(name, now):
+                continue
             calls.append(
                 _BrokenCall(now, UnansweredCall(name, ()), answering[name] > 0)
             )
--- a/knapweedhinge/filters/relay/screen.py
+++ b/knapweedhinge/filters/relay/screen.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+from loguru import logger
+
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.core.exceptions import RefusedError
 from knapweedhinge.filters.relay.admit import NextHandler
@@ -14,11 +16,12 @@
 )
 from knapweedhinge.routing.crashes import fingerprint
 from knapweedhinge.routing.promptquarantine import part_key
-from knapweedhinge.routing.quarantine import Standing
+from knapweedhinge.routing.quarantine import Standing, Verdict
 
-# Retry-After of a quarantined call, in seconds. The call is accepted again once the
-# evidence against it has expired, after ``quarantine_s``.
+# Longest Retry-After of a quarantined call, in seconds. The call is accepted again once
+# the evidence against it has expired, after ``quarantine_s``, or to test it once more.
 RETRY_AFTER_S = 60.0
+MIN_RETRY_AFTER_S = 1.0
 # Shortest and longest time for which a suspect is held, as fractions of the route's
 # latency objective. They differ so that not all suspects go on at once.
 HOLD_FRACTIONS = (0.05, 0.2)
@@ -42,11 +45,28 @@
 
     async def __call__(self, req: RelayRequest, trace: CallTrace) -> AnyRelayAnswer:
         """Pass the call on; raise RefusedError if calls like it crashed endpoints."""
+        ctx, now = self._ctx, self._ctx.clock()
         req = replace(req, fingerprint=fingerprint_of(req))
-        refuse_quarantined(self._ctx, req, self._ctx.clock())
+        verdict = verdict_on(ctx, req, now)
+        if (
+            verdict.standing is Standing.QUARANTINED
+            and ctx.quarantine.retrial_due_s(verdict, now) <= 0
+        ):
+            logger.bind(fingerprint=req.fingerprint, strikes=verdict.strikes).info(
+                "a quarantined call is tested by a run"
+            )
+            ctx.quarantine.retrial_started(req.fingerprint, now)
+            req = replace(req, tested_strikes=len(verdict.strikes))
+        refuse_quarantined(ctx, req, now)
         return await self._next(req, trace)
 
 
+def verdict_on(ctx: RelayContext, req: RelayRequest, now: float) -> Verdict:
+    """Return the standing of calls with the same content."""
+    endpoints = len(req.view.endpoints.by_id)
+    return ctx.quarantine.verdict(req.fingerprint, ctx.limits, endpoints, now)
+
+
 def refuse_quarantined(ctx: RelayContext, req: RelayRequest, now: float) -> None:
     """Raise RefusedError if calls with the same content or parts crashed endpoints."""
     blamed = ctx.quarantine.blamed_parts(req.shared_parts, ctx.limits, now)
@@ -62,13 +82,15 @@
             code=ResultCode.OVERLOADED,
             retry_after_s=RETRY_AFTER_S,
         )
-    endpoints = len(req.view.endpoints.by_id)
-    verdict = ctx.quarantine.verdict(req.fingerprint, ctx.limits, endpoints, now)
-    if verdict.standing is Standing.QUARANTINED:
+    verdict = verdict_on(ctx, req, now)
+    if verdict.standing is not Standing.QUARANTINED:
+        return
+    if len(verdict.strikes) > req.tested_strikes:
+        due_s = ctx.quarantine.retrial_due_s(verdict, now)
         raise RefusedError(
             "calls with the same content crashed endpoints",
             code=ResultCode.OVERLOADED,
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=min(RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, due_s)),
         )
 
 
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -73,7 +73,8 @@
     ``received_at`` and ``deadline_at`` are seconds on the node's monotonic clock.
     ``rank`` is the priority sent to the endpoint, 0 being the highest. ``fingerprint``
     identifies calls of the same content. ``shared_parts`` holds the keys of the parts
-    of the prompt that other calls may contain too.
+    of the prompt that other calls may contain too. The call runs although it is in
+    quarantine while it is blamed for at most ``tested_strikes`` crashes.
     """
 
     call: RelayCall
@@ -86,6 +87,7 @@
     service: str = ""
     fingerprint: str = ""
     shared_parts: tuple[str, ...] = ()
+    tested_strikes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -80,6 +80,8 @@
 # Added to the time for which a session counts as active, since a caller may measure it
 # from a later moment than the node does.
 SESSION_MARGIN_S = 0.5
+# Between the retrials of a request at different nodes. News of one takes far less.
+MAX_RETRIAL_STAGGER_S = 2.0
 MAX_LOGGED_SUSPECTS = 20  # calls named in a log line about a crash
 CRASH_PROBE_TIMEOUT_S = 1.0  # of a connection that shows whether an endpoint crashed
 CRASH_PROBE_INTERVAL_S = 0.1  # least time between two of them to the same process
@@ -160,8 +162,10 @@
             releases=self.releases,
             sessions=self.sessions,
             trials=self.trials,
-            # The argument converts times of the clock into wall-clock time.
-            quarantine=QuarantineTracker(time.time() - clock()),
+            # The first argument converts times of the clock into wall-clock time.
+            quarantine=QuarantineTracker(
+                time.time() - clock(), self.rng.uniform(0, MAX_RETRIAL_STAGGER_S)
+            ),
             answer_memory=AnswerMemory(
                 int(ANSWER_MEMORY_SHARE * settings.process.memory_mb * MEBIBYTE)
             ),
--- a/knapweedhinge/routing/quarantine.py
+++ b/knapweedhinge/routing/quarantine.py
@@ -15,6 +15,13 @@
 # The same if it was answering at some of them. Long answers are under way at more
 # crashes of another cause, and each such crash is one more of at most a few runs.
 STRIKES_WHILE_ANSWERING = 3
+# A request that many callers send may be in flight at crashes of another cause, and if
+# all copies are refused nothing clears it. One run may test it again: so long after its
+# last crash or run, or this multiple of the time between its first and last crash.
+RETRIAL_PAUSE_S = 5.0
+RETRIAL_BACKOFF = 10.0
+# Time between the first and the last crash from which on no run tests a request again.
+MAX_RETRIAL_SPAN_S = 30.0
 BURST_WINDOW_S = 30.0  # crashes at most this far apart may belong to the same burst
 # Fewest other, unrelated crashes that make a crash part of a burst, as a share of the
 # number of endpoints, and the lower limit of their number.
@@ -41,12 +48,14 @@
     """Standing of a request.
 
     ``strikes`` holds the ids of the crashes that the request is blamed for. ``until``
-    is the wall-clock time in seconds when the last of them expires.
+    is the wall-clock time in seconds when the last of them expires, and ``retrial_at``
+    that from which one run may test a quarantined request again, infinity for never.
     """
 
     standing: Standing
     strikes: tuple[str, ...] = ()
     until: float = 0.0
+    retrial_at: float = float("inf")
 
 
 class Quarantine:
@@ -67,7 +76,8 @@
 
         Return the clearance to send to peers, None if the request was no suspect.
         """
-        if not self.evidence.of(fingerprint):
+        crashes = self.evidence.of(fingerprint)
+        if not crashes or crashes[-1].at <= self.evidence.last_cleared(fingerprint):
             return None
         clearance = Clearance(fingerprint, now)
         self.evidence.add_clearance(clearance)
@@ -127,11 +137,20 @@
             or len(blamed) >= STRIKES_WHILE_ANSWERING
         )
         if enough and self._is_only_common_suspect(fingerprint, blamed):
-            return Verdict(Standing.QUARANTINED, strikes, until)
+            retrial_at = self._retrial_at(fingerprint, blamed)
+            return Verdict(Standing.QUARANTINED, strikes, until, retrial_at)
         on_trial = self._on_trial(fingerprint, blamed[-1], now)
         standing = Standing.ON_TRIAL if on_trial else Standing.ALONE
         return Verdict(standing, strikes, until)
 
+    def _retrial_at(self, fingerprint: str, blamed: list[Crash]) -> float:
+        span_s = blamed[-1].at - blamed[0].at
+        if span_s > MAX_RETRIAL_SPAN_S:
+            return float("inf")
+        trial = self.evidence.trials.get(fingerprint)
+        last = max(blamed[-1].at, trial.started_at if trial else float("-inf"))
+        return last + max(RETRIAL_PAUSE_S, RETRIAL_BACKOFF * span_s)
+
     def _is_only_common_suspect(self, fingerprint: str, blamed: list[Crash]) -> bool:
         """Return whether no other suspect was in flight at every blamed crash.
 
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from functools import partial
 
 import pytest
@@ -148,6 +149,90 @@
     assert (again.status, again.whole) == (200, True)
 
 
+MANY_SEND = {
+    # the call that many send, and seconds between the crashes of other causes
+    "safe call, at once": (partial(request, "/look/x"), 0.0),
+    "safe call, one by one": (partial(request, "/look/x"), 0.15),
+    "unsafe call, one by one": (partial(request, "/pay/x"), 0.15),
+    "stream, at once": (chat, 0.0),
+    "stream, one by one": (chat, 0.15),
+}
+
+
+@pytest.mark.parametrize("call,gap_s", MANY_SEND.values(), ids=MANY_SEND)
+async def test_a_sound_call_that_many_send_is_served_beside_unrelated_crashes(
+    call, gap_s
+):
+    """Such a call is in flight at each crash, the only one that all of them share."""
+    service = "engine" if call is chat else "shop"
+    replicas = [Replica(f"e-{n}", service, events=30) for n in range(8)]
+    for replica in replicas:
+        replica.faults.late_s = 0.05
+    statuses = Counter()
+    promises = Promises(retry_allowance=500.0)
+
+    async def send(port: int) -> None:
+        while True:
+            statuses[(await exchange(port, call())).status] += 1
+
+    async with two_nodes(replicas, promises=promises) as (world, second):
+        ports = (world.node.caller_server.port, second.caller_server.port)
+        callers = [asyncio.create_task(send(ports[n % 2])) for n in range(16)]
+        await asyncio.sleep(0.4)
+        for replica in replicas[:4]:
+            replica.crashed = True
+            await replica.stop()
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(0.4)
+        for caller in callers:
+            caller.cancel()
+        after = [(await exchange(port, call())).status for port in ports]
+    assert after == [200, 200]
+    assert set(statuses) <= ({200} if "pay" not in str(call) else {200, 502})
+    assert statuses[200] > 50
+
+
+async def crash_all(world, replicas: list[Replica], born: int) -> None:
+    """Crash all endpoints at once and start them again."""
+    for replica in replicas:
+        replica.crashed = True
+        await replica.stop()
+    await asyncio.sleep(0.1)
+    for replica in replicas:
+        await replica.restart()
+        row = replica.record(born=born)
+        world.store.put("servers", replica.id, row)
+
+
+@pytest.mark.parametrize("fatal", [False, True])
+async def test_a_quarantined_call_is_tested_by_a_run_now_and_then(monkeypatch, fatal):
+    """A sound call was refused for an hour if no copy of it was left to clear it."""
+    monkeypatch.setattr("knapweedhinge.routing.quarantine.RETRIAL_PAUSE_S", 0.3)
+    monkeypatch.setattr("knapweedhinge.routing.quarantine.MAX_RETRIAL_SPAN_S", 1.0)
+    replicas = [Replica(f"shop-{n}", "shop") for n in range(3)]
+    for replica in replicas:
+        replica.faults.late_s = 0.2
+    async with World(replicas, catalog()) as world:
+        data = request("/pay/x", body=FATAL)
+        running = [asyncio.create_task(world.ask(data)) for _ in range(9)]
+        await world.until(lambda: all(replica.calls for replica in replicas))
+        await crash_all(world, replicas, born=2)
+        assert {reply.status for reply in await asyncio.gather(*running)} == {502}
+        refused = await world.ask(data)
+        assert refused.status == 503 and float(refused.headers["retry-after"]) <= 5
+        for replica in replicas:
+            replica.faults.late_s = 0.0
+            replica.faults.crash_body = FATAL if fatal else None
+        statuses = []
+        for _ in range(80):
+            statuses.append((await world.ask(data)).status)
+            await asyncio.sleep(0.05)
+    if fatal:
+        assert crashes(replicas) == 1 and statuses.count(502) == 1
+    else:
+        assert statuses[-1] == 200 and crashes(replicas) == 0
+
+
 def tainted(number: int, first: str = "aa") -> bytes:
     """Return a chat call with the part that crashes engines; no two are alike."""
     prefix = f"{first}:60,dd:20,own{number}:40"
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -14,7 +14,13 @@
     Trial,
     fingerprint,
 )
-from knapweedhinge.routing.quarantine import MAX_TRIAL_S, Quarantine, Standing
+from knapweedhinge.routing.quarantine import (
+    MAX_RETRIAL_SPAN_S,
+    MAX_TRIAL_S,
+    RETRIAL_BACKOFF,
+    Quarantine,
+    Standing,
+)
 
 LIMITS = VotedLimits(quarantine_s=3600.0)
 ENDPOINTS = 10
@@ -97,6 +103,30 @@
     assert standing(records, now=now) is expected
 
 
+TWICE = [crash(1, "p"), crash(2, "p", 2.0)]
+RETRIALS = {
+    # records, the time from which a run may test the request
+    "two crashes at once": ([crash(1, "p"), crash(2, "p", 0.1)], 5.1),
+    "two crashes": (TWICE, 2 + RETRIAL_BACKOFF * 2),
+    "after a run": ([*TWICE, Trial("p", 9.0)], 9 + RETRIAL_BACKOFF * 2),
+    "too many": ([*TWICE, crash(3, "p", 1 + MAX_RETRIAL_SPAN_S)], float("inf")),
+}
+
+
+@pytest.mark.parametrize("found,retrial_at", RETRIALS.values(), ids=RETRIALS)
+def test_a_quarantined_request_is_tested_less_and_less_often(found, retrial_at):
+    quarantine = Quarantine()
+    quarantine.evidence.merge(
+        QuarantineEntries(
+            tuple(entry for entry in found if isinstance(entry, Crash)),
+            trials=tuple(entry for entry in found if isinstance(entry, Trial)),
+        )
+    )
+    verdict = quarantine.verdict("p", LIMITS, ENDPOINTS, 60.0)
+    assert verdict.standing is Standing.QUARANTINED
+    assert verdict.retrial_at == pytest.approx(retrial_at)
+
+
 def test_several_crashing_requests_at_once_are_no_burst():
     records = []
     for index, name in enumerate("pq"):
