Blame parts of prompts that crash engines in mid-answer

Callers saw (in a test, not reported): when engines crash 0.15 s after the first event of each answer to a prompt with a certain part, six different calls with it crashed all of 16 engines, and sound calls got 503.

Change: a second quarantine of parts for answers that were cut off, cleared by complete answers only.

--- a/knapweedhinge/controllers/crashrecords.py
+++ b/knapweedhinge/controllers/crashrecords.py
@@ -10,7 +10,7 @@
 import msgspec
 import xxhash
 
-from knapweedhinge.routing.crashes import Crash, UnansweredCall
+from knapweedhinge.routing.crashes import Crash, CutCall
 
 # Shortest time in seconds between a write of a record and one that only removes
 # suspects from it: they are cleared one after another.
@@ -22,7 +22,8 @@
 
     ``writer`` is the VM of that node, ``at`` the wall-clock time of the crash in
     seconds. ``suspects`` maps fingerprints to whether the request was answering,
-    ``calls`` maps those of calls with suspected parts in their prompts to the parts.
+    ``calls`` holds fingerprint, parts and whether it was answering of each call with
+    suspected parts in its prompt.
     """
 
     writer: str
@@ -30,13 +31,13 @@
     incarnation: str
     at: float
     suspects: dict[str, bool]
-    calls: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    calls: tuple[tuple[str, tuple[str, ...], bool], ...] = ()
 
     @property
     def crash(self) -> Crash:
         """Return the crash with these suspects."""
         answering = frozenset(name for name, began in self.suspects.items() if began)
-        calls = frozenset(UnansweredCall(name, parts) for name, parts in self.calls)
+        calls = frozenset(CutCall(*call) for call in self.calls)
         return Crash(
             self.endpoint_id,
             self.incarnation,
@@ -55,7 +56,11 @@
         crash.incarnation,
         crash.at,
         {name: name in crash.answering for name in sorted(crash.fingerprints)},
-        tuple(sorted((call.fingerprint, call.parts) for call in crash.calls)),
+        tuple(
+            sorted(
+                (call.fingerprint, call.parts, call.answering) for call in crash.calls
+            )
+        ),
     )
 
 
--- a/knapweedhinge/routing/crashes.py
+++ b/knapweedhinge/routing/crashes.py
@@ -29,15 +29,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UnansweredCall:
-    """A call without any part of its answer when its engine crashed.
+class CutCall:
+    """A call whose answer wasn't complete when its engine crashed.
 
     ``fingerprint`` is the same for all repetitions of the call. ``parts`` holds the
-    keys of those parts of its prompt that are suspected of the crash.
+    keys of those parts of its prompt that are suspected of the crash. ``answering``
+    says that a part of the answer had arrived.
     """
 
     fingerprint: str
     parts: tuple[str, ...]
+    answering: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +56,7 @@
     incarnation: str
     at: float
     fingerprints: frozenset[str] = frozenset()
-    calls: frozenset[UnansweredCall] = frozenset()
+    calls: frozenset[CutCall] = frozenset()
     answering: frozenset[str] = frozenset()
 
     @property
@@ -85,10 +87,12 @@
         return self.fingerprints - self.answering
 
 
-def _limited(calls: frozenset[UnansweredCall]) -> frozenset[UnansweredCall]:
+def _limited(calls: frozenset[CutCall]) -> frozenset[CutCall]:
     if len(calls) <= MAX_CALLS_PER_CRASH:
         return calls
-    ordered = sorted(calls, key=lambda call: (call.fingerprint, call.parts))
+    ordered = sorted(
+        calls, key=lambda call: (call.fingerprint, call.parts, call.answering)
+    )
     return frozenset(ordered[:MAX_CALLS_PER_CRASH])
 
 
@@ -116,13 +120,15 @@
 class QuarantineEntries:
     """Message to peers with crashes, clearances and trials.
 
-    ``answered_parts`` holds keys of suspected prompt parts that were answered.
+    ``answered_parts`` holds keys of suspected prompt parts to which an answer began,
+    ``completed_parts`` those to which one was complete.
     """
 
     crashes: tuple[Crash, ...] = ()
     clearances: tuple[Clearance, ...] = ()
     trials: tuple[Trial, ...] = ()
     answered_parts: tuple[str, ...] = ()
+    completed_parts: tuple[str, ...] = ()
 
 
 class CrashEvidence:
--- a/knapweedhinge/routing/promptquarantine.py
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -5,6 +5,9 @@
 for engines that run tens of calls at once, of which a node knows only its own: each
 crash makes suspects of the parts of all calls that it left unanswered, and answers
 clear them.
+
+Some parts crash engines only in the middle of an answer. A second quarantine takes the
+crashes that cut off answers, and is told of complete answers only.
 """
 
 from collections import OrderedDict
@@ -13,7 +16,7 @@
 import xxhash
 
 from knapweedhinge.conf.cooperative import VotedLimits
-from knapweedhinge.routing.crashes import UnansweredCall
+from knapweedhinge.routing.crashes import CutCall
 
 MAX_CRASHES = 1024  # number of crashes kept, the latest ones
 MAX_PARTS_PER_CALL = 32  # number of suspected parts kept for each call
@@ -42,7 +45,7 @@
     """A crash with the calls that it left unanswered; ``at`` is when it was learned."""
 
     at: float
-    calls: frozenset[UnansweredCall]
+    calls: frozenset[CutCall]
 
     @property
     def parts(self) -> frozenset[str]:
@@ -63,10 +66,12 @@
     crashes and that no answer has cleared since, because any of them may be at fault.
     A crash doesn't count against a part if another part with more crashes explains it.
 
-    All times are in seconds on the node's monotonic clock.
+    All times are in seconds on the node's monotonic clock. Crashes that are at most
+    ``min_gap_s`` apart count as one.
     """
 
-    def __init__(self):
+    def __init__(self, min_gap_s: float = 0.0):
+        self._min_gap_s = min_gap_s
         self._crashes: dict[str, _KnownCrash] = {}
         # Ids of the crashes since its last answer, by part.
         self._strikes: dict[str, set[str]] = {}
@@ -81,9 +86,7 @@
             part for part in parts if now - self._last_answer(part) > PRESUMED_SOUND_S
         )[:MAX_PARTS_PER_CALL]
 
-    def add_crash(
-        self, crash_id: str, calls: frozenset[UnansweredCall], at: float
-    ) -> None:
+    def add_crash(self, crash_id: str, calls: frozenset[CutCall], at: float) -> None:
         """Add a crash, or replace the unanswered calls of a known one.
 
         ``at`` is when this node learned of it; the first time is kept.
@@ -176,7 +179,7 @@
         for part in ranked:
             unexplained = self._strikes[part] - explained
             if (
-                len(unexplained) < self._needed(part, now)
+                self._separate(unexplained) < self._needed(part, now)
                 or self._different(part, unexplained) < MIN_CALLS
             ):
                 continue
@@ -222,6 +225,17 @@
             }
         )
 
+    def _separate(self, crash_ids) -> int:
+        """Return how many of these crashes are at least ``min_gap_s`` apart."""
+        if not self._min_gap_s:
+            return len(crash_ids)
+        count, last = 0, float("-inf")
+        for at in sorted(self._crashes[crash_id].at for crash_id in crash_ids):
+            if at - last > self._min_gap_s:
+                count += 1
+                last = at
+        return count
+
     def _needed(self, part: str, now: float) -> int:
         if now - self._last_answer(part) <= RECENT_ANSWER_S:
             return STRIKES_AFTER_RECENT_ANSWER
--- a/tests/platform/test_crash_records.py
+++ b/tests/platform/test_crash_records.py
@@ -18,7 +18,7 @@
 from knapweedhinge.controllers.quarantinetracker import QuarantineTracker
 from knapweedhinge.core.exceptions import PlatformUnavailableError
 from knapweedhinge.node.relay import RelayNode
-from knapweedhinge.routing.crashes import Crash, UnansweredCall
+from knapweedhinge.routing.crashes import Crash, CutCall
 from knapweedhinge.routing.load import EndpointView
 from knapweedhinge.test.replica import Replica
 from tests.platform.test_crashes import FATAL, crashes, engines, tainted
@@ -178,7 +178,7 @@
     "stronger evidence": (CRASH, replace(CRASH, answering=frozenset()), 0.0, True),
     "a call with parts": (
         CRASH,
-        replace(CRASH, calls=frozenset({UnansweredCall("p", ("x",))})),
+        replace(CRASH, calls=frozenset({CutCall("p", ("x",))})),
         0.0,
         True,
     ),
@@ -213,7 +213,7 @@
 
 
 def test_a_record_holds_the_whole_evidence():
-    crash = replace(CRASH, calls=frozenset({UnansweredCall("p", ("x", "y"))}))
+    crash = replace(CRASH, calls=frozenset({CutCall("p", ("x", "y"))}))
     assert record_of(crash, "vm-1").crash == crash
     assert record_key(crash.id, "vm-1") != record_key(crash.id, "vm-2")
 
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -275,6 +275,51 @@
     assert refused.status == 503 and float(refused.headers["retry-after"]) > 10
 
 
+async def test_calls_that_share_a_part_which_crashes_engines_late_are_refused():
+    """The first event of an answer cleared the parts of its prompt (incident 0011)."""
+    replicas = engines(16)
+    for replica in replicas:
+        replica.faults.crash_after, replica.faults.crash_late_s = 1, 0.15
+    async with World(replicas, catalog()) as world:
+        await world.until(lambda: world.node.peers.members)
+        assert (await world.ask(sound(0))).status == 200
+        for number in range(6):
+            await world.ask(tainted(number))
+        crashed = crashes(replicas)
+        replies = [await world.ask(sound(number)) for number in range(1, 5)]
+        refused = await world.ask(tainted(99))
+    assert [(reply.status, reply.whole) for reply in replies] == [(200, True)] * 4
+    assert refused.status == 503 and float(refused.headers["retry-after"]) > 10
+    assert crashes(replicas) == crashed <= 7
+
+
+@pytest.mark.parametrize("gap_s", [0.0, 0.2])
+async def test_sound_parts_of_answers_cut_off_by_unrelated_crashes_are_not_blamed(
+    gap_s,
+):
+    """They are in the prompts of many answers that one crash or another cuts off."""
+    replicas = [Replica(f"e-{n}", "engine", events=40) for n in range(10)]
+    promises = Promises(retry_allowance=500.0)
+    statuses = Counter()
+
+    async def send(world, number: int) -> None:
+        while True:
+            number += 100
+            statuses[(await world.ask(sound(number))).status] += 1
+
+    async with World(replicas, catalog(), promises=promises) as world:
+        callers = [asyncio.create_task(send(world, n)) for n in range(20)]
+        await asyncio.sleep(0.3)
+        for replica in replicas[:6]:
+            replica.crashed = True
+            await replica.stop()
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(0.5)
+        for caller in callers:
+            caller.cancel()
+    assert set(statuses) == {200}
+
+
 async def test_peers_refuse_calls_with_a_part_that_crashed_engines_of_others():
     replicas = engines(10)
     async with two_nodes(replicas) as (world, second):
--- a/tests/routing/test_promptquarantine.py
+++ b/tests/routing/test_promptquarantine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from knapweedhinge.conf.cooperative import VotedLimits
-from knapweedhinge.routing.crashes import UnansweredCall
+from knapweedhinge.routing.crashes import CutCall
 from knapweedhinge.routing.promptquarantine import (
     MAX_ANSWERED,
     MAX_CRASHES,
@@ -26,7 +26,7 @@
 def crash(at: float, *calls: str):
     """Return a crash at a time; a call such as "1:fd" has number 1 and parts f, d."""
     unanswered = frozenset(
-        UnansweredCall(number, tuple(parts))
+        CutCall(number, tuple(parts))
         for number, _, parts in (call.partition(":") for call in calls)
     )
     return at, unanswered
@@ -150,7 +150,7 @@
 def test_evidence_is_bounded():
     prompts = PromptQuarantine()
     for number in range(MAX_CRASHES + 50):
-        calls = frozenset({UnansweredCall(str(number), (f"p{number}", "d"))})
+        calls = frozenset({CutCall(str(number), (f"p{number}", "d"))})
         prompts.add_crash(f"e{number}", calls, float(number))
     assert len(prompts._crashes) == MAX_CRASHES
     assert len(prompts._strikes) == MAX_CRASHES + 1
@@ -183,7 +183,7 @@
         )
         calls = [parts, *(c for c in beside if not prompts.blamed(c, LIMITS, now))]
         unanswered = frozenset(
-            UnansweredCall(f"{number}.{index}", prompts.suspects(call, now))
+            CutCall(f"{number}.{index}", prompts.suspects(call, now))
             for index, call in enumerate(calls)
         )
         prompts.add_crash(f"e{number}", unanswered, now)
@@ -200,7 +200,7 @@
 
 PARTS = st.text("abcd", min_size=1, max_size=3)
 CALLS = st.builds(
-    lambda number, parts: UnansweredCall(str(number), tuple(sorted({*parts}))),
+    lambda number, parts: CutCall(str(number), tuple(sorted({*parts}))),
     st.integers(0, 4),
     PARTS,
 )
