Read the records of crashes along with the peers' key

Cause: the records had a table of their own, read at each start, a seventh call a node beside the six that the test counts (two tables, the peers' key, the roster row, two pages of contacts). The bound is right.

Change: records are rows of the table that holds the peers' key. A node reads it once, before it takes calls, and joins its peers with the key it found there: six calls again.

--- a/knapweedhinge/node/crash_recorder.py
+++ b/knapweedhinge/node/crash_recorder.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from loguru import logger
@@ -54,22 +54,22 @@
         self._woken = asyncio.Event()
         ctx.quarantine.evidence_added.subscribe(self._note_evidence)
 
-    async def load(self) -> None:
-        """Read the records of all nodes; raise PlatformError if the store fails."""
-        found = await self._store.read(wire.CRASHES_TABLE)
-        now = self._clock()
-        for row in found.rows:
+    def load(self, rows: Iterable[Row], now: float) -> None:
+        """Take the records of all nodes from their rows of the store."""
+        loaded = 0
+        for row in rows:
             record = _decoded(row)
             if record is None:
                 continue
+            loaded += 1
             if record.writer == self._vm:
                 self._records.note(record.crash.id, record.crash, row.version, now)
             else:
                 self._rows_of_others[row.key] = record
             self._quarantine.restore(record.crash, self._ctx.limits, now)
         self._changed.clear()
-        if found.rows:
-            logger.bind(records=len(found.rows)).info("crash records read")
+        if loaded:
+            logger.bind(records=loaded).info("crash records read")
 
     async def run(self) -> None:
         """Write records when they change, without end."""
@@ -134,8 +134,8 @@
     async def _write(self, changes: tuple[RecordChange, ...], now: float) -> None:
         puts = tuple(
             Put(
-                wire.CRASHES_TABLE,
-                record_key(change.crash_id, self._vm),
+                wire.NODES_TABLE,
+                wire.CRASH_PREFIX + record_key(change.crash_id, self._vm),
                 change.crash
                 and msgspec.msgpack.encode(record_of(change.crash, self._vm)),
                 change.version,
@@ -178,7 +178,7 @@
             if self._quarantine.is_expired(record.at, self._ctx.limits, now)
         ]
         puts = [
-            Put(wire.CRASHES_TABLE, key, None)
+            Put(wire.NODES_TABLE, key, None)
             for key in expired
             if self._keeps(self._rows_of_others[key].crash.id)
         ]
@@ -190,7 +190,7 @@
 
 def _decoded(row: Row) -> CrashRecord | None:
     """Return the record in a row, None for a deleted or, with a log line, a bad one."""
-    if row.value is None:
+    if row.value is None or not row.key.startswith(wire.CRASH_PREFIX):
         return None
     try:
         return msgspec.msgpack.decode(row.value, type=CrashRecord)
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -304,9 +304,11 @@
         await self.feeds.load(wire.OPERATOR_TABLE)
         while self.fleet.view.catalog is None:
             await self.feeds.poll(wire.OPERATOR_TABLE)
-        await asyncio.gather(
-            self.feeds.load(wire.ENDPOINTS_TABLE), self.crash_recorder.load()
+        _, found = await asyncio.gather(
+            self.feeds.load(wire.ENDPOINTS_TABLE), self.store.read(wire.NODES_TABLE)
         )
+        self.peers.load(found.rows)
+        self.crash_recorder.load(found.rows, self.clock())
         # The status table holds roll-out stages, needed once a roll-out was ordered.
         if self.fleet.view.orders:
             await self.feeds.load(wire.STATUS_TABLE)
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 import msgspec
@@ -29,7 +29,7 @@
 from knapweedhinge.platform import wire
 from knapweedhinge.platform.feeds import Feeds, ReaderStatus
 from knapweedhinge.platform.gossip import RowGossip
-from knapweedhinge.platform.store import Store
+from knapweedhinge.platform.store import Row, Store
 from knapweedhinge.routing.crashes import Crash
 
 REPORT_INTERVAL_S = 0.4  # between reports of load and of running roll-outs
@@ -43,7 +43,6 @@
 # at the store. They serve calls meanwhile.
 JOIN_SPREAD_S = 0.6
 READERS_PER_REGION = 3  # one node that reads the store and two on standby
-PEERS_SECRET = "peers"  # key of the row with the peers' shared key
 # Roles in the assignment of tasks to nodes.
 READER_ROLE = "store-reader"
 AGGREGATOR_ROLE = "work-board"
@@ -77,12 +76,19 @@
         self._release_reporter = ReleaseReporter(ctx.releases)
         self._peers: Peers | None = None
         self._gossip: RowGossip | None = None
+        self._key_row: Row | None = None
         self._aggregator = LoadAggregator()
         self._sent_report = b""
         self._sent_at = float("-inf")
         ctx.fleet.nodes = ASSUMED_NODES
         ctx.budget.set_nodes(ASSUMED_NODES)
 
+    def load(self, rows: Iterable[Row]) -> None:
+        """Take the peers' shared key from the store's rows for nodes, if it's there."""
+        for row in rows:
+            if row.key == wire.PEERS_KEY:
+                self._key_row = row
+
     async def join(self) -> None:
         """Get the peers' shared key from the store, then join the peers.
 
@@ -188,14 +194,12 @@
         attempt = 0
         while True:
             try:
-                found = await self._store.read(wire.SECRETS_TABLE)
-                row = next((row for row in found.rows if row.key == PEERS_SECRET), None)
-                if row is None:
+                if self._key_row is None:
                     proposed = secrets.token_hex(16).encode()
-                    row = await self._store.compare_and_set(
-                        wire.SECRETS_TABLE, PEERS_SECRET, proposed, 0
+                    self._key_row = await self._store.compare_and_set(
+                        wire.NODES_TABLE, wire.PEERS_KEY, proposed, 0
                     )
-                return row.value.decode()
+                return self._key_row.value.decode()
             except PlatformError as exc:
                 logger.bind(code=exc.code.number).info(
                     f"peer key not available yet: {exc}"
--- a/knapweedhinge/platform/wire.py
+++ b/knapweedhinge/platform/wire.py
@@ -46,8 +46,9 @@
 # only nodes read.
 STAGE_PREFIX = "stage/"
 PEERS_TABLE = "roster"
-SECRETS_TABLE = "secrets"
-CRASHES_TABLE = "crashes"  # records of crashes, written and read by nodes
+NODES_TABLE = "secrets"  # rows that only nodes read, all of them as they start
+PEERS_KEY = "peers"  # row with the key that the peers share
+CRASH_PREFIX = "crash/"  # before the key of a crash's record
 
 
 class _Camel(msgspec.Struct, frozen=True, rename="camel"):
