Bound the work that an endless answer makes, not only its memory

Callers saw, beside eight streams whose bytes never become an event: one call of another service answered in 1.5 s, after up to 19 s.

Cause: memory was bounded, work wasn't. All events of what had been read were split in one step (the loop was held for up to 12 s); comments and repeated events could go on without end; each one-byte chunk reset the count of bytes beside the body.

Change: 64 KiB without a new event, beyond what the caller has, break a stream off; comments alone no longer begin an answer, so it is still asked for elsewhere; at most 100 events and 16 KiB of a connection in a turn of the loop; bytes beside the body count on, each byte of the body paying for two.

--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -42,6 +42,12 @@
 from knapweedhinge.routing.silence import Silence
 from knapweedhinge.routing.sizing import SizeRequest, first_size, larger_size
 
+# Bytes of comments and repeated events that an endpoint may send before its next new
+# event. It may repeat all events that the caller has, when it resumes a stream.
+MAX_STALE_BYTES = 64 * 1024
+# Events of a stream that are processed before other calls have their turn.
+MAX_EVENTS_PER_TURN = 100
+
 
 class FailedAnswerError(EndpointError):
     """An endpoint ran the call and answered with a server error.
@@ -102,7 +108,8 @@
     those of them whose answers were dropped to ask a larger model.
     ``crash_suspect`` is the endpoint that broke off the last attempt.
     ``last_event_number`` and ``sent_bytes`` say how much of a stream the caller has
-    already received.
+    already received, ``new_bytes`` how much of that were events. ``stale_bytes`` counts
+    what the present endpoint sent since its last new event.
     """
 
     def __init__(
@@ -120,6 +127,8 @@
         self.crash_suspect: EndpointView | None = None
         self.last_event_number = req.call.after_event_number
         self.sent_bytes = 0
+        self.new_bytes = 0
+        self.stale_bytes = 0
 
     async def answer(self) -> AnyRelayAnswer:
         """Return the first successful answer, or the last error that an endpoint gave.
@@ -310,11 +319,15 @@
 
         Until then nothing has gone to the caller, so a failure is still retried.
         """
-        splitter = EventSplitter()
-        events = await self._next_events(attempt, splitter)
+        splitter, first, ended = EventSplitter(), b"", False
+        self.stale_bytes = 0
+        while not ended and attempt.is_empty:
+            events = await self._next_events(attempt, splitter)
+            ended = events is None
+            first += self._accept_events(attempt, events or [])
         self.trace.first_event_s = self.ctx.clock() - self.req.received_at
-        first = self._accept_events(attempt, events or [])
-        stream = self._stream_events(attempt, splitter, first, ended=events is None)
+        self.sent_bytes += len(first)
+        stream = self._stream_events(attempt, splitter, first, ended=ended)
         return RelayStream(attempt.head.status, attempt.head.headers, stream)
 
     async def _stream_events(
@@ -338,6 +351,7 @@
                     events = await self._next_events(attempt, splitter)
                     ended = events is None
                     data = b"" if ended else self._accept_events(attempt, events)
+                    self.sent_bytes += len(data)
                 except EndpointError as exc:
                     attempt.failed(exc)
                     attempt, splitter = await self._resume_stream(exc)
@@ -363,6 +377,7 @@
                 exc = failed
                 continue
             if attempt.head.good:
+                self.stale_bytes = 0
                 self.ctx.metrics.count("streams_mended", self.req.route.name)
                 return attempt, EventSplitter()
             exc = EndpointError(
@@ -379,8 +394,12 @@
         unless its framing says that it is complete, before the first one.
         """
         while True:
-            data = await attempt.read()
-            if not data:
+            if splitter.may_have_more:
+                data = b""
+                await asyncio.sleep(0)
+            else:
+                data = await attempt.read()
+            if not data and not splitter.may_have_more:
                 if splitter.has_partial_event:
                     raise self._stream_cut(
                         attempt, "the stream ended in the middle of an event"
@@ -391,11 +410,12 @@
                     )
                 return None
             try:
-                events = splitter.feed(data)
+                events = splitter.feed(data, MAX_EVENTS_PER_TURN)
             except ValueError as exc:
                 raise self._stream_broken(attempt, str(exc)) from exc
             if events:
-                attempt.piece_arrived()
+                if not all(event.is_comment for event in events):
+                    attempt.piece_arrived()
                 return events
 
     def _accept_events(self, attempt: RelayAttempt, events: list[StreamEvent]) -> bytes:
@@ -406,7 +426,10 @@
         """
         accepted, last = [], self.last_event_number
         for event in events:
-            if last is not None and not event.is_comment:
+            if event.is_comment:
+                accepted.append(event)
+                continue
+            if last is not None:
                 if event.number is None:
                     raise self._stream_broken(attempt, f"no number after event {last}")
                 if event.number <= last:
@@ -418,12 +441,20 @@
             if event.number is not None:
                 last = event.number
             accepted.append(event)
-        if not all(event.is_comment for event in accepted):
+        new_bytes = sum(len(e.data) for e in accepted if not e.is_comment)
+        if new_bytes:
+            self.new_bytes += new_bytes
+            self.stale_bytes = 0
             attempt.progressed()
+        else:
+            self.stale_bytes += sum(len(event.data) for event in events)
+        if self.stale_bytes > MAX_STALE_BYTES + self.new_bytes:
+            raise self._stream_broken(
+                attempt, f"no new event in {self.stale_bytes} bytes"
+            )
         # Only now, since an error drops all of these events: they are requested again.
         self.last_event_number = last
         data = b"".join(event.data for event in accepted)
-        self.sent_bytes += len(data)
         self.trace.events += len(accepted)
         return data
 
--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -17,9 +17,16 @@
 # a few hundred events.
 MAX_BUFFERED_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 64 * 1024  # known servers send less than a tenth of it
-# Bytes that may arrive without any byte of the body among them: the head, chunk
-# extensions and trailers.
-MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES
+# Bytes that may arrive beside those of the body: the head, then chunk sizes, extensions
+# and trailers. Each byte of the body pays for some, so that chunks of three bytes or
+# more are never too many, but a server can't keep the parser busy with single bytes.
+MAX_FRAMING_BYTES = MAX_HEADER_BYTES
+FRAMING_PER_BODY_BYTE = 2
+# Read from a socket at once. Parsing that much takes 3 ms at worst, after which the
+# other connections have their turn.
+RECEIVE_BYTES = 16 * 1024
+# Shared by all connections: the event loop parses what it reads before it reads more.
+_receive_buffer = bytearray(RECEIVE_BYTES)
 MAX_SKIPPED_BYTES = 1024 * 1024  # of responses to other requests
 # TCP timeouts, so that the kernel ends a connection to a vanished peer after about 3 s.
 USER_TIMEOUT_MS = 3_000
@@ -55,7 +62,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-class Channel(asyncio.Protocol):
+class Channel(asyncio.BufferedProtocol):
     """A connection; :meth:`send` a request, then await :meth:`head` and :meth:`read`.
 
     The framing determines the end of a response. A response without length is complete
@@ -227,6 +234,14 @@
         if sock is not None:
             enable_keepalive(sock)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer to read into."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer."""
+        self.data_received(bytes(memoryview(_receive_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received data.
 
@@ -245,7 +260,7 @@
         if self._skipped_bytes > MAX_SKIPPED_BYTES:
             self._break("responses to other requests are too long")
         if self._framing_bytes > MAX_FRAMING_BYTES:
-            self._break("too many bytes without a part of the body")
+            self._break("too many bytes beside those of the body")
 
     def eof_received(self) -> bool:
         """Process an orderly close, which completes a body without length."""
@@ -297,6 +312,7 @@
         self._until_close = not _is_framed(head)
         self._note_keep_alive(head)
         self._head = head
+        self._framing_bytes = 0
         if self._head_only:
             # The parser isn't told the request's method, so it would take what follows
             # for the body that Content-Length announces.
@@ -306,7 +322,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body; pause reading when the buffer is too large."""
-        self._framing_bytes = 0
+        paid = (1 + FRAMING_PER_BODY_BYTE) * len(data)
+        self._framing_bytes = max(0, self._framing_bytes - paid)
         if self._skipping_other:
             self._skipped_bytes += len(data)
         if self._skipping_other or self._complete:
--- a/knapweedhinge/http1/sse.py
+++ b/knapweedhinge/http1/sse.py
@@ -16,41 +16,53 @@
     @property
     def is_comment(self) -> bool:
         """Return whether it has only comment lines, as sent to keep connections up."""
+        if self.data[:1] not in (b":", b"\r", b"\n"):
+            return False
         return all(line.startswith(b":") for line in self.data.splitlines() if line)
 
 
 class EventSplitter:
-    """Split a stream into events, buffering the bytes of an incomplete one."""
+    """Split a stream into events, buffering the bytes that are not split yet.
+
+    ``may_have_more`` tells that events may be left to split off without more data.
+    """
 
     def __init__(self):
         self._rest = bytearray()
+        self.may_have_more = False
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether a part of an event is buffered."""
         return bool(self._rest.strip())
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that ``data`` completes.
+    def feed(self, data: bytes, max_events: int | None = None) -> list[StreamEvent]:
+        """Return the events that ``data`` completes, the first ``max_events`` of them.
 
         Raise ValueError if an incomplete event exceeds MAX_EVENT_BYTES.
         """
-        # The separator may have begun in the bytes received before.
-        searched = max(0, len(self._rest) - len(LONGEST_SEPARATOR) + 1)
+        searched = 0
+        if not self.may_have_more:
+            # The separator may have begun in the bytes received before.
+            searched = max(0, len(self._rest) - len(LONGEST_SEPARATOR) + 1)
         if self._rest:
             self._rest += data
             data = self._rest
         events = []
-        start = 0
-        while (end := _end_of_event(data, max(start, searched))) >= 0:
+        start = end = 0
+        while len(events) != max_events:
+            end = _end_of_event(data, max(start, searched))
+            if end < 0:
+                break
             raw = bytes(data[start:end])
             events.append(StreamEvent(_number(raw), raw))
             start = end
+        self.may_have_more = end >= 0 and start < len(data)
         if data is self._rest:
             del self._rest[:start]
         else:
             self._rest += data[start:]
-        if len(self._rest) > MAX_EVENT_BYTES:
+        if len(self._rest) > MAX_EVENT_BYTES and not self.may_have_more:
             raise ValueError("an event is longer than the limit")
         return events
 
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -47,6 +47,7 @@
       the connection.
     - ``close_in_head``: close in an orderly way after this many bytes of the head.
     - ``close_after``: close in an orderly way after this many bytes of a stream.
+    - ``repeat_from_start``: resume a stream with its first event.
     - ``leaving``: say in all answers that this endpoint leaves.
     - ``retry_after``: with ``refuse``, the seconds for which it wants no calls.
     - ``crash_body``: crash when a call with this body begins to run.
@@ -79,6 +80,7 @@
     until_close: bool = False
     close_in_head: int | None = None
     close_after: int | None = None
+    repeat_from_start: bool = False
     leaving: bool = False
     retry_after: str = ""
     crash_body: bytes | None = None
@@ -272,6 +274,8 @@
 
     async def _respond_stream(self, exchange: Exchange, headers: tuple) -> None:
         first = int(exchange.get(b"last-event-id") or 0) + 1
+        if self.faults.repeat_from_start:
+            first = 1
         exchange.begin(200, (*headers, SSE_CONTENT_TYPE))
         if self.faults.close_after is not None:
             numbers = range(first, self.events + 1)
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -100,3 +100,9 @@
         parsed.data for parsed in together
     )
     assert whole.startswith(b"".join(parsed.data for parsed in events))
+    in_turns, splitter = [], EventSplitter()
+    for chunk in chunks:
+        in_turns += splitter.feed(chunk, 1)
+        while splitter.may_have_more:
+            in_turns += splitter.feed(b"", 1)
+    assert in_turns == events
