Let a burst of crashes excuse one crash of a request, not all

Cause: two or more unrelated crashes within 30 s excused every crash of a request in that time. A request is at one endpoint at a time, so a burst explains one.

Change: one crash in 30 s is excused, further ones count.

--- a/knapweedhinge/routing/quarantine.py
+++ b/knapweedhinge/routing/quarantine.py
@@ -63,9 +63,10 @@
 
     Requests are named by their fingerprint. A request blamed for one crash runs alone.
     It is refused if it is blamed for at least two before any part of its answer, or
-    three in all, and no other request, still a suspect, was in flight at all of them. A
-    crash isn't blamed on its requests if many endpoints without a request in common
-    crashed at about the same time, since another cause is then more likely.
+    three in all, and no other request, still a suspect, was in flight at all of them.
+    If many endpoints without a request in common crashed at about the same time,
+    another cause is more likely: one such crash isn't blamed on a request, but further
+    ones are.
     """
 
     def __init__(self, evidence: CrashEvidence | None = None):
@@ -121,7 +122,7 @@
         recent = [
             crash for crash in crashes if crash.at > since and crash.id not in explained
         ]
-        blamed = [crash for crash in recent if not self._in_burst(crash, endpoints)]
+        blamed = self._without_excused(recent, endpoints)
         if not blamed:
             return Verdict(Standing.NORMAL)
         return self._standing(fingerprint, blamed, limits, now)
@@ -163,6 +164,21 @@
             for other in shared
         )
 
+    def _without_excused(self, crashes: list[Crash], endpoints: int) -> list[Crash]:
+        """Return a request's crashes, oldest first, without one for each burst.
+
+        A burst explains one crash of a request. One that crashes endpoints goes on at
+        the next endpoint, and the next, also while others fail for another cause.
+        """
+        blamed, excused_at = [], float("-inf")
+        for crash in crashes:
+            recently = crash.at - excused_at <= BURST_WINDOW_S
+            if not recently and self._in_burst(crash, endpoints):
+                excused_at = crash.at
+            else:
+                blamed.append(crash)
+        return blamed
+
     def _in_burst(self, crash: Crash, endpoints: int) -> bool:
         """Return whether a crash is part of a burst of unrelated crashes.
 
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -23,6 +23,9 @@
 )
 
 LIMITS = VotedLimits(quarantine_s=3600.0)
+# The platform allows so many retries later than this after a request's third crash.
+CONTACT_S = 3.0
+MAX_LATE_RETRIES = 3
 ENDPOINTS = 10
 
 
@@ -78,6 +81,21 @@
         ),
         ([crash(1, "pab"), crash(2, "p", 40.0), *BURST], 60.0, Standing.ALONE),
         ([crash(1, "pab", 40.0), *BURST], 60.0, Standing.NORMAL),
+        (
+            [crash(n, ["p", f"beside{n}"], 40.0 + n) for n in (1, 2, 3)] + BURST,
+            60.0,
+            Standing.QUARANTINED,
+        ),
+        (
+            [crash(n, ["p", f"beside{n}"], 41.0 * n) for n in (1, 2)]
+            + [
+                crash(10 * n + k, [f"x{n}{k}"], 41.0 * n)
+                for n in (1, 2)
+                for k in (1, 2)
+            ],
+            90.0,
+            Standing.NORMAL,
+        ),
     ],
     ids=[
         "unknown",
@@ -97,6 +115,8 @@
         "other of pair cleared",
         "second in a burst",
         "only in a burst",
+        "again and again in a burst",
+        "once in each of two bursts",
     ],
 )
 def test_standing(records, now, expected):
@@ -245,6 +265,41 @@
         assert not _quarantined(quarantine, at + 10)
 
 
+@pytest.mark.parametrize("seed", range(30))
+def test_a_crashing_request_is_found_beside_unrelated_crashes(seed):
+    """A burst of other crashes excused it for 30 s, again and again (review/2)."""
+    rng = Random(seed)
+    quarantine = Quarantine()
+    number, now = 0, 0.0
+    fatal = {f"p{index}": [] for index in range(rng.randint(1, 3))}  # crash times
+    refused_sound = set()
+    while now < 120.0:
+        now += rng.uniform(0.5, 4.0)
+        sound = [f"r{number}-{index}" for index in range(20)]
+        loads = iter([sound[start : start + 3] for start in range(0, 18, 3)])
+        crashing = [
+            name
+            for name in fatal
+            if quarantine.verdict(name, LIMITS, ENDPOINTS, now).standing
+            is not Standing.QUARANTINED
+        ]
+        others = rng.randrange(4) if rng.random() < 0.3 else 0
+        for first in [*crashing, *[None] * others]:
+            number += 1
+            names = next(loads) + ([] if first is None else [first])
+            at = now + rng.uniform(0, 0.3)
+            quarantine.evidence.add_crash(crash(number, names, at))
+            if first is not None:
+                fatal[first].append(at)
+        for name in sound:
+            if rng.random() < 0.8:
+                quarantine.completed(name, now + 1)
+        refused_sound |= _quarantined(quarantine, now + 1) - {*fatal}
+    for times in fatal.values():
+        assert sum(at > times[2] + CONTACT_S for at in times[2:]) <= MAX_LATE_RETRIES
+    assert not refused_sound
+
+
 def _quarantined(quarantine, now):
     names = {
         name
