--- a/knapweedhinge/routing/crashes.py
+++ b/knapweedhinge/routing/crashes.py
@@ -120,15 +120,13 @@
 class QuarantineEntries:
     """Message to peers with crashes, clearances and trials.
 
-    ``answered_parts`` holds keys of suspected prompt parts to which an answer began,
-    ``completed_parts`` those to which one was complete.
+    ``answered_parts`` holds keys of suspected prompt parts that were answered.
     """
 
     crashes: tuple[Crash, ...] = ()
     clearances: tuple[Clearance, ...] = ()
     trials: tuple[Trial, ...] = ()
     answered_parts: tuple[str, ...] = ()
-    completed_parts: tuple[str, ...] = ()
 
 
 class CrashEvidence:
--- a/knapweedhinge/routing/promptquarantine.py
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -5,9 +5,6 @@
 for engines that run tens of calls at once, of which a node knows only its own: each
 crash makes suspects of the parts of all calls that it left unanswered, and answers
 clear them.
-
-Some parts crash engines only in the middle of an answer. A second quarantine takes the
-crashes that cut off answers, and is told of complete answers only.
 """
 
 from collections import OrderedDict
@@ -66,12 +63,10 @@
     crashes and that no answer has cleared since, because any of them may be at fault.
     A crash doesn't count against a part if another part with more crashes explains it.
 
-    All times are in seconds on the node's monotonic clock. Crashes that are at most
-    ``min_gap_s`` apart count as one.
+    All times are in seconds on the node's monotonic clock.
     """
 
-    def __init__(self, min_gap_s: float = 0.0):
-        self._min_gap_s = min_gap_s
+    def __init__(self):
         self._crashes: dict[str, _KnownCrash] = {}
         # Ids of the crashes since its last answer, by part.
         self._strikes: dict[str, set[str]] = {}
@@ -179,7 +174,7 @@
         for part in ranked:
             unexplained = self._strikes[part] - explained
             if (
-                self._separate(unexplained) < self._needed(part, now)
+                len(unexplained) < self._needed(part, now)
                 or self._different(part, unexplained) < MIN_CALLS
             ):
                 continue
@@ -225,17 +220,6 @@
             }
         )
 
-    def _separate(self, crash_ids) -> int:
-        """Return how many of these crashes are at least ``min_gap_s`` apart."""
-        if not self._min_gap_s:
-            return len(crash_ids)
-        count, last = 0, float("-inf")
-        for at in sorted(self._crashes[crash_id].at for crash_id in crash_ids):
-            if at - last > self._min_gap_s:
-                count += 1
-                last = at
-        return count
-
     def _needed(self, part: str, now: float) -> int:
         if now - self._last_answer(part) <= RECENT_ANSWER_S:
             return STRIKES_AFTER_RECENT_ANSWER
