Date a crash by its first break, so that answers since clear its suspects

Cause: a crash had the time of its discovery by a probe. Answers that other copies got between the break and the probe were older than the crash and cleared nobody; once all copies are refused, none follows.

Change: a crash has the time of the first connection that broke; calls that were answered since are no suspects.

Evidence: test_an_answer_between_a_crash_and_its_discovery_clears_a_request failed before.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -165,8 +165,15 @@
         """Record and return an engine's crash; its requests in flight are suspects."""
         process = endpoint.id, endpoint.incarnation
         self._quarantine.evidence.expire(limits, self._wall(now))
-        calls = [*self._in_flight(process, now), *self._broken.get(process, ())]
-        return self._add_crash(_crash(process, self._wall(now), calls), now)
+        broken = self._broken.get(process, ())
+        calls = [
+            item
+            for item in (*self._in_flight(process, now), *broken)
+            if not self._is_presumed_sound(item.call.fingerprint, now)
+        ]
+        # The time of the crash, not of its discovery: answers since clear suspects.
+        at = min((item.at for item in broken), default=now)
+        return self._add_crash(_crash(process, self._wall(at), calls), at)
 
     def answered(self, parts: tuple[str, ...], now: float) -> None:
         """Note that an engine answers a request with these parts in its prompt."""
@@ -340,21 +347,20 @@
         answering = Counter(self._answering.get(process, ()))
         calls = []
         for name in self._running.get(process, ()):
-            if self._is_presumed_sound(name, now):
-                continue
             calls.append(_BrokenCall(now, CutCall(name, (), answering[name] > 0)))
             answering[name] -= 1
         return calls
 
-    def _add_crash(self, crash: Crash, now: float) -> Crash:
-        """Record a crash with requests of this node, and publish those alone.
+    def _add_crash(self, crash: Crash, at: float) -> Crash:
+        """Record a crash at the monotonic time ``at``, and publish it.
 
+        Only the requests of this node are published.
         Peers merge the entries of all nodes. If each carried the requests of others
         too, their sizes would grow with the number of nodes.
         """
         evidence = self._quarantine.evidence
         evidence.add_crash(crash)
-        self._share_with_prompts(crash.id, now)
+        self._share_with_prompts(crash.id, at)
         self.updates_for_peers.on_next(_crash_update(self._add_own(crash)))
         self.evidence_added.on_next(crash.id)
         return evidence.crashes.get(crash.id, crash)
--- a/tests/controllers/test_quarantinetracker.py
+++ b/tests/controllers/test_quarantinetracker.py
@@ -67,6 +67,23 @@
     assert tracker.verdict("sound", LIMITS, 10, 3.0).standing is Standing.NORMAL
 
 
+def test_an_answer_between_a_crash_and_its_discovery_clears_a_request():
+    tracker = QuarantineTracker()
+    for number in range(2):
+        engine = EndpointView(f"e{number}", "", "a", "here", incarnation="i1")
+        tracker.broke_off(engine, "p", 1.0, ("x",))
+        tracker.broke_off(engine, "q", 1.0, ("y",))
+    tracker.completed("p", 1.1)
+    tracker.answered(("x",), 1.1)
+    for number in range(2):
+        engine = EndpointView(f"e{number}", "", "a", "here", incarnation="i1")
+        tracker.crashed(engine, LIMITS, 1.2)
+    standings = [tracker.verdict(name, LIMITS, 10, 1.3).standing for name in "pq"]
+    assert standings == [Standing.NORMAL, Standing.QUARANTINED]
+    (crash, _) = tracker.crashes()
+    assert crash.at == 1.0 and crash.fingerprints == {"q"}
+
+
 def joined_trackers(count: int) -> list[QuarantineTracker]:
     """Return trackers of nodes that get each other's updates at once."""
     trackers = [QuarantineTracker() for _ in range(count)]
