End the threads of the endless answers' stand-in with each of its tests

Cause: the stand-in's threads outlived their tests. A connection that was closed before its request left `recv` returning no bytes in a loop without end, and closing a listener doesn't wake a thread in `accept`. Shown by a count at the end of each test: 85 threads after 20 rows and 190 after the file.

Change: the thread ends with its connection, `stop` ends and joins all threads and asserts that none is left.

Evidence: one thread after each row; the soak behind the file in the same process passes with 4.0 and 5.2 s of processor time.

--- a/tests/platform/test_endless_beside_others.py
+++ b/tests/platform/test_endless_beside_others.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import pytest
@@ -87,40 +88,56 @@
     id: str
     head: bytes
     piece: bytes
-    sent: list[int] = field(default_factory=list)  # bytes, by connection
+    _conns: list[socket.socket] = field(default_factory=list)
+    _threads: list[threading.Thread] = field(default_factory=list)
 
     async def start(self) -> None:
         self._listener = socket.create_server(("127.0.0.1", 0))
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._run(self._accept)
 
     async def stop(self) -> None:
+        """End all threads; one that ran on would take time from later tests."""
+        self._listener.shutdown(socket.SHUT_RDWR)  # a close alone wakes no accept()
+        self._threads[0].join(SOCKET_TIMEOUT_S)
+        for conn in self._conns:
+            with suppress(OSError):  # the thread may have closed it
+                conn.shutdown(socket.SHUT_RDWR)
+        for thread in self._threads:
+            thread.join(SOCKET_TIMEOUT_S)
         self._listener.close()
+        assert not any(thread.is_alive() for thread in self._threads)
 
     def record(self) -> dict:
         port = self._listener.getsockname()[1]
         return Replica(self.id, "engine").record_at(f"127.0.0.1:{port}")
 
+    def _run(self, work, *args) -> None:
+        thread = threading.Thread(target=work, args=args, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
     def _accept(self) -> None:
         while True:
             try:
                 conn, _ = self._listener.accept()
             except OSError:
                 return
-            threading.Thread(target=self._flood, args=(conn,), daemon=True).start()
+            self._conns.append(conn)
+            self._run(self._flood, conn)
 
     def _flood(self, conn: socket.socket) -> None:
         conn.settimeout(SOCKET_TIMEOUT_S)
-        number = len(self.sent)
-        self.sent.append(0)
+        head, sent = b"", 0
         try:
-            head = b""
             while b"\r\n\r\n" not in head:
-                head += conn.recv(65536)
+                if not (data := conn.recv(65536)):
+                    return
+                head += data
             request_id = head.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
             conn.sendall(self.head.replace(b"%s", request_id))
-            while self.sent[number] < MUCH_BYTES:
+            while sent < MUCH_BYTES:
                 conn.sendall(self.piece)
-                self.sent[number] += len(self.piece)
+                sent += len(self.piece)
         except OSError:
             pass
         finally:
