Don't take endpoints out of use for refusing a call for an unknown model

Cause: 421 says that another endpoint has the address, or that this one can't run the call. The node always took it for the first and removed the endpoint until its row changed, which a sound endpoint has no reason to do. Ruled out: a lack of retries or places; the sound calls were refused since no endpoint was known.

Change: a node refuses a call for a model that its route doesn't have itself (421, code 1025). After a 421 it asks the endpoint's health page who it is, at most once a second for each endpoint. Only one whose address another endpoint has is paused, and asked again after 1 to 8 s. The refusal doesn't count as a failure of the endpoint any more; three in a row paused it.

Open: 5xx answers to one caller's calls can still pause the endpoints of a quiet service for up to 3 s.

--- a/knapweedhinge/core/codes.py
+++ b/knapweedhinge/core/codes.py
@@ -95,6 +95,7 @@
     VOTE_REQUIRED = CodeSpec(
         1024, 403, _N, "The change sets a limit and takes effect by vote; propose it."
     )
+    MODEL_UNKNOWN = CodeSpec(1025, 421, _N, "The route has no such model.")
 
     OVERLOADED = CodeSpec(2001, 503, _N, "Admission refused the request early.")
     NO_ENDPOINT = CodeSpec(2002, 503, _N, "No endpoint may take the request now.")
--- a/knapweedhinge/filters/relay/admit.py
+++ b/knapweedhinge/filters/relay/admit.py
@@ -39,8 +39,8 @@
     ) -> AnyRelayAnswer:
         """Pass the call on with its route, organisation and deadline.
 
-        Raise CallerError for an unknown route or key, and RefusedError if the node has
-        no catalog yet or the deadline has passed.
+        Raise CallerError for an unknown route, key or model, and RefusedError if the
+        node has no catalog yet or the deadline has passed.
         """
         if self._ctx.fleet.view.catalog is None:
             max_wait_s = CATALOG_WAIT_FRACTION * (
@@ -54,6 +54,7 @@
             )
         route = find_route(catalog, call)
         organisation = find_organisation(catalog, route, call)
+        check_model(route, call)
         trace.route = route.name
         trace.organisation = organisation.name if organisation else ""
         time_limit_s = (
@@ -99,6 +100,16 @@
     return organisation
 
 
+def check_model(route: CallRoute, call: RelayCall) -> None:
+    """Raise CallerError if a call names a model that its route doesn't have.
+
+    Endpoints would refuse it one after the other.
+    """
+    names_model = call.model and not call.any_model
+    if route.sizes and names_model and call.model not in route.sizes:
+        raise CallerError(code=ResultCode.MODEL_UNKNOWN)
+
+
 def recheck_admission(req: RelayRequest, view: FleetView) -> RelayRequest:
     """Check an admitted call against the newest catalog, and return it updated.
 
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from knapweedhinge.controllers.fleet import EndpointGone, EndpointLeaving
+from knapweedhinge.controllers.fleet import EndpointLeaving
 from knapweedhinge.core.codes import ResultCode, RunState
 from knapweedhinge.core.exceptions import EndpointError, RefusedError
 from knapweedhinge.filters.relay.admit import recheck_admission
@@ -33,6 +33,10 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024  # of an answer that is read into memory whole
 
 
+class MisdirectedError(EndpointError):
+    """An endpoint refused a call as meant for another endpoint or model."""
+
+
 class RelayAttempt:
     """A call sent to one endpoint.
 
@@ -239,7 +243,7 @@
             return
         exc.endpoint_id = self.endpoint.id
         now = self._ctx.clock()
-        if not isinstance(exc, PoolFullError):
+        if not isinstance(exc, PoolFullError | MisdirectedError):
             unreachable = isinstance(exc, ConnectFailedError)
             self._ctx.health.failed(self.endpoint.id, now, unreachable=unreachable)
         if exc.code is ResultCode.ENDPOINT_TIMEOUT:
@@ -318,11 +322,12 @@
                 raise self._not_run_error(
                     f"refused with {head.status}", ResultCode.ENDPOINT_REFUSED
                 )
-            case HeadVerdict.OTHER_ENDPOINT:
-                self._ctx.fleet.apply(EndpointGone(self.endpoint.id), self._ctx.clock())
-                raise self._not_run_error(
-                    "another endpoint answers at its address",
-                    ResultCode.ENDPOINT_REFUSED,
+            case HeadVerdict.MISDIRECTED:
+                self._ctx.check_identity(self.endpoint)
+                raise MisdirectedError(
+                    "refused as meant for another endpoint or model",
+                    code=ResultCode.ENDPOINT_REFUSED,
+                    run_state=RunState.NOT_RUN,
                 )
             case HeadVerdict.INVALID:
                 raise EndpointError(
--- a/knapweedhinge/filters/relay/types.py
+++ b/knapweedhinge/filters/relay/types.py
@@ -110,15 +110,16 @@
 class HeadVerdict(StrEnum):
     """What status and headers of an answer say about the attempt.
 
-    ``NOT_RUN``: the endpoint refused the call without running it. ``OTHER_ENDPOINT``:
-    another endpoint answers at this address. ``INVALID``: the answer doesn't show that
-    it belongs to this call. ``UNPROVEN``: the status promises the caller that the call
-    has not run, but the endpoint doesn't state that.
+    ``NOT_RUN``: the endpoint refused the call without running it. ``MISDIRECTED``: so
+    did another endpoint at this address, or this one since it can't run such a call.
+    ``INVALID``: the answer doesn't show that it belongs to this call. ``UNPROVEN``: the
+    status promises the caller that the call has not run, but the endpoint doesn't state
+    that.
     """
 
     ANSWER = "answer"
     NOT_RUN = "not-run"
-    OTHER_ENDPOINT = "other-endpoint"
+    MISDIRECTED = "misdirected"
     INVALID = "invalid"
     UNPROVEN = "unproven"
 
@@ -217,6 +218,10 @@
     """Don't look whether the endpoint crashed."""
 
 
+def no_identity_check(endpoint: EndpointView) -> None:
+    """Don't ask the endpoint who it is."""
+
+
 @dataclass(frozen=True)
 class RelayContext:
     """The settings and shared state that all stages use.
@@ -224,6 +229,8 @@
     ``clock`` returns seconds on a monotonic clock. ``budget`` limits the calls that are
     sent more than once. ``check_crash`` is called with an endpoint that cut off an
     answer; it finds out whether the endpoint crashed, and waits briefly for that.
+    ``check_identity`` is called with an endpoint that refused a call as misdirected; it
+    doesn't wait.
     """
 
     settings: RelaySettings
@@ -244,4 +251,5 @@
     answer_memory: AnswerMemory
     metrics: Metrics
     check_crash: Callable[[EndpointView], Awaitable[None]] = no_check
+    check_identity: Callable[[EndpointView], None] = no_identity_check
     limits: VotedLimits = field(default_factory=VotedLimits)
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -42,6 +42,7 @@
 from knapweedhinge.filters.relay import RelayContext
 from knapweedhinge.http1 import Exchange, Limits, Server
 from knapweedhinge.node.crash_recorder import CrashRecorder
+from knapweedhinge.node.identity_checker import IdentityChecker
 from knapweedhinge.node.relaypeers import REPORT_INTERVAL_S, RelayPeers
 from knapweedhinge.node.trial_coordinator import TrialCoordinator
 from knapweedhinge.platform import wire
@@ -171,6 +172,7 @@
             ),
             metrics=self.metrics,
             check_crash=self._check_crash,
+            check_identity=self._check_identity,
         )
         self.peers = RelayPeers(
             self.ctx, self.store, self.feeds, self.release_controller, self.trials
@@ -178,6 +180,7 @@
         self.crash_recorder = CrashRecorder(
             self.ctx, self.store, self.peers.keeps_crash
         )
+        self.identity_checker = IdentityChecker(self.ctx)
         self.fleet.changes.subscribe(self._handle_fleet_change)
         self._calls = CallHandler(self.ctx)
         self.caller_server = self._build_server(self._calls)
@@ -404,6 +407,10 @@
         else:
             writer.close()
 
+    def _check_identity(self, endpoint: EndpointView) -> None:
+        if self.identity_checker.is_due(endpoint, self.clock()):
+            self._spawn(self.identity_checker.check(endpoint))
+
     def _region(self, failure_domain: str) -> str:
         return self._region_by_failure_domain.get(
             failure_domain, self.settings.listen.region
--- a/knapweedhinge/platform/callers.py
+++ b/knapweedhinge/platform/callers.py
@@ -115,7 +115,7 @@
         request_id = exchange.get(REQUEST_ID)
         if request_id is not None:
             headers.append((b"Knapweedhinge-Request-Id", request_id))
-        if status in NOT_RUN_STATUSES:
+        if status in NOT_RUN_STATUSES and exc.code is not ResultCode.MODEL_UNKNOWN:
             after_s = exc.retry_after_s or DEFAULT_RETRY_AFTER_S
             headers.append((b"Retry-After", b"%.2f" % after_s))
         body = msgspec.json.encode(
--- a/knapweedhinge/platform/headers.py
+++ b/knapweedhinge/platform/headers.py
@@ -15,6 +15,7 @@
     RelayCall,
 )
 from knapweedhinge.http1 import Exchange, ResponseHead
+from knapweedhinge.routing.load import EndpointView
 
 Headers = tuple[tuple[bytes, bytes], ...]
 MS_PER_S = 1_000
@@ -38,6 +39,7 @@
 NOT_EXECUTED = b"knapweedhinge-not-executed"  # the endpoint has not run the call
 # Id of the endpoint that is to answer; any other one at its address refuses with 421.
 EXPECT_REPLICA = b"knapweedhinge-expect-replica"
+REPLICA_ID = b"knapweedhinge-replica-id"  # in answers to health checks
 ORGANISATION = b"knapweedhinge-tenant"
 REQUEST_PRIORITY = b"knapweedhinge-request-priority"  # 0 to 9, 0 the highest
 CONFIDENCE = b"knapweedhinge-confidence"  # of the model in its answer, 0 to 100
@@ -50,6 +52,8 @@
 ANY_MODEL = "*"  # the caller leaves the choice of the model to the node
 # Statuses that tell the caller that its call has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# The call is not for the endpoint: it expects another one, or a model unknown there.
+MISDIRECTED = 421
 PAUSE_STATUSES = frozenset({429, 503})  # with Retry-After, the endpoint wants a pause
 
 # Headers that concern one connection only, or that are set anew for each attempt.
@@ -204,8 +208,8 @@
                 pause_s = _pause_s(value)
             passed.append((name, value))
         verdict = HeadVerdict.ANSWER
-        if head.status == 421:
-            verdict = HeadVerdict.OTHER_ENDPOINT
+        if head.status == MISDIRECTED:
+            verdict = HeadVerdict.MISDIRECTED
         elif not_run:
             verdict = HeadVerdict.NOT_RUN
         elif 200 <= head.status < 300 and not (stamped and echoed):
@@ -224,6 +228,21 @@
         )
 
 
+def encode_identity_check(path: str, endpoint: EndpointView) -> bytes:
+    """Return a request that only ``endpoint`` itself answers with its id."""
+    host = endpoint.url.removeprefix("http://")
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: {host}\r\n"
+        f"Knapweedhinge-Expect-Replica: {endpoint.id}\r\n\r\n"
+    ).encode()
+
+
+def names_other_endpoint(head: ResponseHead, endpoint_id: str) -> bool:
+    """Return whether the answer to an identity check comes from another endpoint."""
+    name = head.get(REPLICA_ID)
+    return head.status == MISDIRECTED or name not in (None, endpoint_id.encode())
+
+
 def _pause_s(value: bytes) -> float:
     """Return the seconds in a Retry-After header, 0 if it holds none."""
     text = value.strip()
--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -13,6 +13,7 @@
 SSE_CONTENT_TYPE = (b"Content-Type", b"text/event-stream")
 STAMP_HEADER = b"Knapweedhinge-Replica-Stamp"
 REQUEST_ID_HEADER = b"Knapweedhinge-Request-Id"
+HEALTH_PATH = b"/health"
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"Knapweedhinge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -25,6 +26,7 @@
 
     - ``refuse``: answer 503 and say that the call was not executed.
     - ``refuse_model``: do so only if the call asks this model.
+    - ``unknown_model``: answer 421 if the call asks this model.
     - ``fail``: run the call and answer 500.
     - ``fail_model``: do so only if the call asks this model.
     - ``mute``: run the call and never answer.
@@ -64,6 +66,7 @@
 
     refuse: bool = False
     refuse_model: bytes | None = None
+    unknown_model: bytes | None = None
     fail: bool = False
     fail_model: bytes | None = None
     mute: bool = False
@@ -165,7 +168,14 @@
             self.refused.append(exchange)
             exchange.respond(421, (), b"")
             return
+        if exchange.target == HEALTH_PATH:
+            exchange.respond(200, ((b"Knapweedhinge-Replica-Id", self.id.encode()),))
+            return
         model = exchange.get(b"knapweedhinge-model")
+        if model and model == self.faults.unknown_model:
+            self.refused.append(exchange)
+            exchange.respond(421, ((b"Knapweedhinge-Not-Executed", b"1"),))
+            return
         if self.faults.refuse or (model and model == self.faults.refuse_model):
             self.refused.append(exchange)
             await asyncio.sleep(self.faults.late_s)
