Resume the reading of a connection whose large answer nobody read

Cause: the bytes that fill the buffer pause reading, which only a read resumes. If they also end the answer, the connection is reusable, and stayed paused in the pool.

Change: the end of a request resumes the reading of a connection that is reused.

Ruled out: that the pool closes such a connection, since the test gets the same one again.

--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -217,6 +217,9 @@
         self._is_expected = None
         if not usable:
             self.close()
+        elif self._paused:  # the response was not read to its end
+            self._paused = False
+            self._transport.resume_reading()
         return usable
 
     def close(self) -> None:
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from knapweedhinge.http1 import Pool, PoolSettings, TransportError
+from knapweedhinge.http1.channel import MAX_BUFFERED_BYTES
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import World, catalog, chat, request
 
@@ -71,6 +72,33 @@
         assert await read_answer(head + data) == (200, body)
 
 
+async def test_a_connection_whose_large_answer_nobody_read_serves_the_next_request():
+    """It was reused with its reading paused, so that no further answer arrived."""
+    get = b"GET / HTTP/1.1\r\n\r\n"
+
+    async def answer(reader, writer):
+        # The last byte of the first body both pauses the reading and ends the answer.
+        for body in (b"x" * (MAX_BUFFERED_BYTES + 1), b"next"):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            writer.write(body)
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    pool = Pool(PoolSettings(), "127.0.0.1", server.sockets[0].getsockname()[1])
+    channel = await pool.acquire(0.0)
+    channel.send(get, lambda headers: True)
+    async with asyncio.timeout(5.0):
+        while not channel.complete:
+            await asyncio.sleep(0.001)
+    pool.release(channel, 0.0)
+    assert await pool.acquire(0.0) is channel
+    channel.send(get, lambda headers: True)
+    async with asyncio.timeout(2.0):
+        assert await channel.read() == b"next"
+    pool.close_all()
+    server.close()
+
+
 def replicas(service: str, **faults) -> list[Replica]:
     """Return a faulty endpoint of a service and a sound one."""
     first, second = (Replica(f"{service}-{n}", service) for n in range(2))
