Keep an endpoint's pause and cold start while its row can't be read

Cause: such a row counts as removed, and the endpoint's health and cold start were dropped with it. Ruled out: that its return counts as a restart (same incarnation).

Change: both are kept without a row, the health for up to 60 s (the longest pause that an endpoint may ask for), the cold start until it ends. A new incarnation still ends the pause.

--- a/knapweedhinge/controllers/fleet.py
+++ b/knapweedhinge/controllers/fleet.py
@@ -295,7 +295,7 @@
             self._lapsed.pop(event.record.id, None)
             self._note_cold_record(event.record, known, now)
         if isinstance(event, EndpointGone):
-            self._cold.pop(event.endpoint_id, None)
+            # Its cold start is kept: the record may return, and expires by itself.
             self._lapsed.pop(event.endpoint_id, None)
         if isinstance(event, DomainIn):
             self._mark_domain_cold(event.failure_domain, now)
@@ -326,7 +326,12 @@
             return
 
     def expire(self, now: float) -> None:
-        """Remove endpoints whose lapsed records did not return in the grace period."""
+        """Remove endpoints whose lapsed records did not return in the grace period.
+
+        Drop cold starts that are over, too.
+        """
+        for endpoint_id in [i for i, cold in self._cold.items() if now >= cold.until]:
+            del self._cold[endpoint_id]
         for endpoint_id in [
             lapsed_id
             for lapsed_id, remove_at in self._lapsed.items()
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -61,6 +61,9 @@
 
 TICK_INTERVAL_S = 0.25  # between runs that expire records and advance roll-outs
 LOAD_RETRY_PAUSE_S = 0.15  # mean pause before the store is read again after a failure
+# What is known of an endpoint without a record is kept for the longest pause that it
+# may have asked for.
+GONE_MEMORY_S = 60.0
 SWEEP_INTERVAL_S = 1.0  # between searches for idle connections
 # Longest time that callers may cache the list of nodes. They notice a node that is gone
 # within about this time.
@@ -112,6 +115,7 @@
             place.failure_domain: place.region for place in settings.places
         }
         self._incarnations: dict[str, str] = {}  # of the endpoints, by id
+        self._gone_at: dict[str, float] = {}  # of those without a record, by id
         # Start and task of the last crash probe, by endpoint id and incarnation.
         self._probes: dict[tuple[str, str], tuple[float, asyncio.Task]] = {}
         self._tasks = PeriodicTasks(self.rng)
@@ -338,6 +342,18 @@
         self.ctx.pools.keep_only(self.fleet.view.endpoints.by_id)
         self.ctx.loads.expire(now)
         self.sessions.expire(now)
+        self._forget_gone(now)
+
+    def _forget_gone(self, now: float) -> None:
+        """Forget the health of endpoints that have been gone for long.
+
+        Before that their records may only have been unreadable for a moment.
+        """
+        for endpoint_id, gone_at in list(self._gone_at.items()):
+            if now >= gone_at + GONE_MEMORY_S:
+                del self._gone_at[endpoint_id]
+                self._incarnations.pop(endpoint_id, None)
+                self.ctx.health.forget(endpoint_id)
 
     def _apply_event(self, event) -> None:
         """Apply a change of the tables; log an error, which would end the subscription.
@@ -351,9 +367,9 @@
 
     def _handle_fleet_change(self, event) -> None:
         if isinstance(event, EndpointGone):
-            self.ctx.health.forget(event.endpoint_id)
-            self._incarnations.pop(event.endpoint_id, None)
+            self._gone_at[event.endpoint_id] = self.clock()
         if isinstance(event, EndpointSeen):
+            self._gone_at.pop(event.record.id, None)
             self._note_incarnation(event.record)
         if isinstance(event, ReleaseOrdered | ReleaseStaged):
             self._spawn(self.trials.report())
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -5,6 +5,7 @@
 import pytest
 
 from knapweedhinge.controllers.fleet import FleetTracker
+from knapweedhinge.node.relay import GONE_MEMORY_S
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import World, catalog, request
 
@@ -87,3 +88,35 @@
             world.store.put("servers", "odd", entry())
         world.store.put("servers", "shop-1", shops[1].record())
         await world.until(lambda: "shop-1" in world.node.fleet.view.endpoints.by_id)
+
+
+async def test_an_endpoint_unreadable_for_a_moment_keeps_its_pause_and_cold_start():
+    """Both were forgotten with its entry, and calls went to it at once."""
+    cold = {"maxConns": 64, "coldS": 20.0, "coldPerS": 1.0}
+    services = [{"name": "shop", **cold}, {"name": "engine", "maxConns": 64}]
+    (shop,) = shops = [Replica("shop-0", "shop")]
+    async with World(shops, catalog(services=services)) as world:
+        fleet, health = world.node.fleet, world.node.ctx.health
+        clock = world.node.clock
+        fleet.note_cold_answer(shop.id, 20.0, clock())
+        health.asked_to_wait(shop.id, 20.0, clock())
+        world.store.put("servers", shop.id, b"unreadable")
+        await world.until(lambda: shop.id not in fleet.view.endpoints.by_id)
+        world.store.put("servers", shop.id, shop.record())
+        await world.until(lambda: shop.id in fleet.view.endpoints.by_id)
+        assert fleet.is_cold(shop.id, clock()) and health.waits(shop.id, clock())
+        world.store.put("servers", shop.id, shop.record(born=2))
+        await world.until(lambda: not health.waits(shop.id, clock()))
+
+
+async def test_what_is_known_of_endpoints_without_an_entry_is_forgotten_in_the_end():
+    (shop,) = shops = [Replica("shop-0", "shop")]
+    async with World(shops, catalog()) as world:
+        node, now = world.node, world.node.clock()
+        node.ctx.health.asked_to_wait(shop.id, 500.0, now)
+        world.store.put("servers", shop.id, b"unreadable")
+        await world.until(lambda: shop.id not in node.fleet.view.endpoints.by_id)
+        node._forget_gone(now + GONE_MEMORY_S / 2)
+        assert node.ctx.health.waits(shop.id, now)
+        node._forget_gone(node.clock() + GONE_MEMORY_S)
+        assert not node.ctx.health.waits(shop.id, now)
