Handle SIGHUP from the start of a node's process

Cause: it was handled only after the program's imports, and has its default effect before. Ruled out: a failing handler (the exit status is the signal's).

Change: the entry point blocks SIGHUP before it imports the program; the node unblocks it behind its handler, which then reloads the settings if one came meanwhile. The program moved to platform/program.py. test_imports names that module in place of the entry point as the one that may import `node`: still one module, and the entry point may no longer.

--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -519,6 +519,8 @@
             logger.bind(code=exc.code.number).error(f"settings not reloaded: {exc}")
 
     loop.add_signal_handler(signal.SIGHUP, reload)
+    # Blocked while the process started; one that came meanwhile is delivered now.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     starting = asyncio.create_task(node.start())
     stopping = asyncio.create_task(stopped.wait())
     await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
--- a/knapweedhinge/platform/__main__.py
+++ b/knapweedhinge/platform/__main__.py
@@ -1,40 +1,19 @@
 """Run one node on the platform: ``python -m knapweedhinge.platform``."""
 
-import os
+import signal
 import sys
-from dataclasses import replace
 
-from knapweedhinge.conf.loader import load
-from knapweedhinge.conf.relay import RelaySettings, split_address
-from knapweedhinge.core.exceptions import ImproperlyConfiguredError
-from knapweedhinge.core.management.exit_codes import ExitCode
 
-# Environment variable that holds the path of the settings file.
-SETTINGS_VARIABLE = "KNAPWEEDHINGE_BOOT"
-
-
-def read_settings() -> RelaySettings:
-    """Read and check the settings.
+def main() -> int:
+    """Run the node and return its exit code.
 
-    The port for callers comes from ``doors.callers``, since the settings template
-    (``settings.json5``) sets ``listen.port`` to 0. Raise ImproperlyConfiguredError,
-    which lists every problem, if the settings are invalid.
+    SIGHUP would end the process until the node can handle it, and is blocked until
+    then. The program is imported after that, since this takes most of the time.
     """
-    settings = load(RelaySettings, os.environ.get(SETTINGS_VARIABLE, ""))
-    _, port = split_address(settings.doors.callers)
-    return replace(settings, listen=replace(settings.listen, port=port))
-
-
-def main() -> int:
-    """Check the settings, run the node and return its exit code."""
-    try:
-        settings = read_settings()
-    except ImproperlyConfiguredError as exc:
-        sys.stderr.write(f"{exc}\n")
-        return ExitCode.SETTINGS
-    from knapweedhinge.node.relay import run
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    from knapweedhinge.platform.program import main as run_program
 
-    return run(settings, read_settings)
+    return run_program()
 
 
 if __name__ == "__main__":
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -52,7 +52,7 @@
 ASSEMBLY_MODULES = {"__init__", "__main__", "demo", "node", "test"}
 COMMANDS_PACKAGE = f"{PACKAGE}.core.management"
 # What the users' platform runs; alone in its package, it may import ``node``.
-ENTRY_POINT = f"{PACKAGE}.platform.__main__"
+ENTRY_POINT = f"{PACKAGE}.platform.program"
 # Packages that the commands may import, besides those that ``core`` may.
 ALLOWED_TO_COMMANDS = {"backing", "controllers", "demo", "node"}
 
