Don't let a stream that was answering excuse the call at fault

Cause: a call is blamed if no other suspect was in flight at all of its crashes. Since streams that were answering are suspects, and a crash sends them to the same next endpoint as the call at fault, which they then excused.

Change: a suspect excuses another one only if it was in flight without an answer at as many of the crashes.

Tests of routing, of the tracker, the crashes and the records pass.

--- a/knapweedhinge/routing/quarantine.py
+++ b/knapweedhinge/routing/quarantine.py
@@ -63,7 +63,7 @@
 
     Requests are named by their fingerprint. A request blamed for one crash runs alone.
     It is refused if it is blamed for at least two before any part of its answer, or
-    three in all, and no other request, still a suspect, was in flight at all of them.
+    three in all, and no other request is as suspect of all of them.
     If many endpoints without a request in common crashed at about the same time,
     another cause is more likely: one such crash isn't blamed on a request, but further
     ones are.
@@ -132,9 +132,8 @@
     ) -> Verdict:
         strikes = tuple(crash.id for crash in blamed)
         until = blamed[-1].at + limits.quarantine_s
-        unanswered = sum(fingerprint not in crash.answering for crash in blamed)
         enough = (
-            unanswered >= STRIKES_TO_QUARANTINE
+            _unanswered(fingerprint, blamed) >= STRIKES_TO_QUARANTINE
             or len(blamed) >= STRIKES_WHILE_ANSWERING
         )
         if enough and self._is_only_common_suspect(fingerprint, blamed):
@@ -153,14 +152,19 @@
         return last + max(RETRIAL_PAUSE_S, RETRIAL_BACKOFF * span_s)
 
     def _is_only_common_suspect(self, fingerprint: str, blamed: list[Crash]) -> bool:
-        """Return whether no other suspect was in flight at every blamed crash.
+        """Return whether no other request is as suspect of all blamed crashes.
 
-        Requests answered at or after the last of these crashes are no suspects.
+        Requests answered at or after the last of these crashes are no suspects, and
+        one that was answering counts less than one that was not: streams that a crash
+        cuts off go on at the next endpoint together with the request at fault.
         """
         shared = frozenset.intersection(*(crash.fingerprints for crash in blamed))
         last = blamed[-1].at
+        unanswered = min(STRIKES_TO_QUARANTINE, _unanswered(fingerprint, blamed))
         return all(
-            other == fingerprint or self.evidence.last_cleared(other) >= last
+            other == fingerprint
+            or self.evidence.last_cleared(other) >= last
+            or _unanswered(other, blamed) < unanswered
             for other in shared
         )
 
@@ -201,6 +205,11 @@
         return now < trial.started_at + MAX_TRIAL_S
 
 
+def _unanswered(fingerprint: str, crashes: list[Crash]) -> int:
+    """Return at how many of these crashes a request had sent nothing of its answer."""
+    return sum(fingerprint not in crash.answering for crash in crashes)
+
+
 def _disjoint_count(crashes: list[Crash]) -> int:
     """Return the size of a set of these crashes of which no two share a request.
 
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -66,6 +66,13 @@
             60.0,
             Standing.QUARANTINED,
         ),
+        ([crash(n, "pa", n, "a") for n in (1, 2)], 60.0, Standing.QUARANTINED),
+        (
+            [crash(1, "pa"), crash(2, "pa", 1, "a")],
+            60.0,
+            Standing.QUARANTINED,
+        ),
+        ([crash(n, "pa", n, "p") for n in (1, 2, 3)], 60.0, Standing.ALONE),
         ([crash(1, "pab"), crash(2, "p", 40.0)], 3700.0, Standing.NORMAL),
         ([crash(1, "pab"), Clearance("p", 5.0)], 60.0, Standing.NORMAL),
         (
@@ -108,6 +115,10 @@
         "three times while answering",
         "once while answering",
         "one copy while answering",
+        # A stream went on at the next endpoint with the call at fault and hid it.
+        "beside one that was answering",
+        "beside one that was answering once",
+        "answering beside one that was not",
         "expired",
         "cleared",
         "cleared between",
