Count only crashes by the fatal call in the soak of crashes

Cause: in the check. It took each crash of an endpoint that had ever run the call for a crash by the call, also those that the soak itself brings about.

Change: endpoints that the soak stops are left out.

--- a/tests/platform/crash_soak.py
+++ b/tests/platform/crash_soak.py
@@ -70,7 +70,8 @@
         self.fatal = self.rng.choice(FATAL_CALLS)
         self.live = list(world.replicas.values())
         self.runs: dict[str, float] = {}  # first run of each fatal call, by its id
-        self.crash_times: list[float] = []
+        self.crash_times: list[float] = []  # of crashes by the fatal call
+        self.stopped: set[str] = set()  # endpoints that crashed for another cause
         self._started = len(self.live)
         self._background: list[asyncio.Task] = []
 
@@ -116,7 +117,7 @@
                         self.runs.setdefault(name, time.monotonic())
                 if replica.crashed:
                     self.live.remove(replica)
-                    if any(call.body == FATAL for call in replica.calls):
+                    if replica.id not in self.stopped:
                         self.crash_times.append(time.monotonic())
                     self._background.append(asyncio.create_task(self._replace(replica)))
                 replica.calls[:] = [c for c in replica.calls if c.body == FATAL]
@@ -155,6 +156,7 @@
                     for replica in self.rng.sample(self.live, self.rng.randint(1, 4)):
                         if not replica.crashed:
                             replica.crashed = True
+                            self.stopped.add(replica.id)
                             await replica.stop()
                             await asyncio.sleep(gap_s)
 
