Blame parts of prompts that crash engines in mid-answer, but not those beside others

Cause: the first event of an answer clears the parts of its prompt.

The sound calls of the tests have contents of their own now: with the same content in all, test_sound_parts_of_answers_cut_off_... failed under holds of the loop with "calls with the same content crashed endpoints", which isn't about parts.

New rows and tests of the tracker and the parts pass.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -33,6 +33,9 @@
 # Time in seconds after the last complete answer in which a request is no suspect. One
 # that crashes endpoints has none.
 PRESUMED_SOUND_S = 5.0
+# Crashes at most so many seconds apart count as one against prompt parts whose answers
+# they cut off: such answers are under way at all engines that another cause ends.
+CUT_ANSWERS_GAP_S = 0.1
 MAX_ANSWERED = 8192  # number of requests whose last complete answer is remembered
 
 
@@ -86,7 +89,8 @@
         self._epoch_s = epoch_s
         self._stagger_s = stagger_s
         self._quarantine = Quarantine()
-        self._prompts = PromptQuarantine()
+        self._prompts = PromptQuarantine()  # by crashes before any part of the answer
+        self._cut_prompts = PromptQuarantine(CUT_ANSWERS_GAP_S)  # by later ones
         self._last_blamed: frozenset[str] = frozenset()
         # Fingerprints of running requests, by endpoint id and incarnation, and of those
         # of them that have sent a part of their answer.
@@ -141,8 +145,7 @@
 
         The request counts as in flight if the engine turns out to have crashed, or is
         known to. ``parts`` holds the keys of the parts of its prompt that other
-        requests may contain too. ``answering`` says that a part of the answer arrived,
-        after which the parts are no suspects.
+        requests may contain too. ``answering`` says that a part of the answer arrived.
         """
         oldest = now - BROKEN_KEPT_S
         self._broken = {
@@ -153,8 +156,8 @@
         if self._is_presumed_sound(fingerprint, now):
             return
         process = endpoint.id, endpoint.incarnation
-        suspected = () if answering else self._prompts.suspects(parts, now)
-        call = CutCall(fingerprint, suspected, answering)
+        prompts = self._cut_prompts if answering else self._prompts
+        call = CutCall(fingerprint, prompts.suspects(parts, now), answering)
         broken = _BrokenCall(now, call)
         self._broken.setdefault(process, []).append(broken)
         known = self._quarantine.evidence.crashes.get(Crash(*process, now).id)
@@ -175,11 +178,17 @@
         at = min((item.at for item in broken), default=now)
         return self._add_crash(_crash(process, self._wall(at), calls), at)
 
-    def answered(self, parts: tuple[str, ...], now: float) -> None:
+    def answered(
+        self, parts: tuple[str, ...], now: float, *, complete: bool = False
+    ) -> None:
         """Note that an engine answers a request with these parts in its prompt."""
         for part in self._prompts.answered(parts, now):
             entries = QuarantineEntries(answered_parts=(part,))
             self._publish(f"part/{part}", entries)
+        if complete:
+            for part in self._cut_prompts.answered(parts, now):
+                entries = QuarantineEntries(completed_parts=(part,))
+                self._publish(f"complete/{part}", entries)
 
     def suspected_since(self, parts: tuple[str, ...]) -> float | None:
         """Return when parts of a prompt were last suspected of a crash, None if not."""
@@ -190,6 +199,9 @@
     ) -> frozenset[str]:
         """Return the parts of a prompt for which the request is refused, if any."""
         blamed = self._prompts.blamed(parts, limits, now)
+        blamed = blamed or self._cut_prompts.blamed(
+            parts, limits, now, self._prompts.suspected_crashes()
+        )
         if blamed and blamed != self._last_blamed:
             self._last_blamed = blamed
             logger.bind(parts=sorted(blamed)).warning(
@@ -211,7 +223,10 @@
             limits,
             endpoints,
             self._wall(now),
-            self._prompts.explained(limits, now),
+            self._prompts.explained(limits, now)
+            | self._cut_prompts.explained(
+                limits, now, self._prompts.suspected_crashes()
+            ),
         )
         return replace(verdict, retrial_at=verdict.retrial_at + self._stagger_s)
 
@@ -267,7 +282,8 @@
         return found
 
     def _without_cleared(self, call: CutCall, crash_id: str) -> CutCall:
-        suspected = self._prompts.suspected_parts(crash_id)
+        prompts = self._cut_prompts if call.answering else self._prompts
+        suspected = prompts.suspected_parts(crash_id)
         return replace(call, parts=tuple(p for p in call.parts if p in suspected))
 
     def is_expired(self, at: float, limits: VotedLimits, now: float) -> bool:
@@ -333,6 +349,7 @@
                     self._clear(name, self._answered_at[name])
             self.evidence_added.on_next(crash.id)
         self._prompts.answered(update.entries.answered_parts, now)
+        self._cut_prompts.answered(update.entries.completed_parts, now)
         for isolation in update.isolations:
             if isolation.ended:
                 self._isolated.pop(isolation.endpoint_id, None)
@@ -378,8 +395,11 @@
 
     def _share_with_prompts(self, crash_id: str, now: float) -> None:
         crash = self._quarantine.evidence.crashes.get(crash_id)
-        if crash is not None:
-            self._prompts.add_crash(crash_id, crash.calls, now)
+        if crash is None:
+            return
+        cut = frozenset(call for call in crash.calls if call.answering)
+        self._prompts.add_crash(crash_id, crash.calls - cut, now)
+        self._cut_prompts.add_crash(crash_id, cut, now)
 
     def _publish_clearance(self, clearance: Clearance) -> None:
         entries = QuarantineEntries(clearances=(clearance,))
--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -215,8 +215,9 @@
         )
         first_piece_s = self._observation.first_piece_s or now - self._started_at
         self._ctx.health.answered(self.endpoint.id, kind, first_piece_s, now)
-        self._ctx.quarantine.completed(self._execution.req.fingerprint, now)
-        self._clear_parts()
+        req = self._execution.req
+        self._ctx.quarantine.completed(req.fingerprint, now)
+        self._ctx.quarantine.answered(req.shared_parts, now, complete=True)
         self._observation.record_success(first_piece_s)
         self._close("ok")
 
--- a/knapweedhinge/routing/crashes.py
+++ b/knapweedhinge/routing/crashes.py
@@ -120,13 +120,15 @@
 class QuarantineEntries:
     """Message to peers with crashes, clearances and trials.
 
-    ``answered_parts`` holds keys of suspected prompt parts that were answered.
+    ``answered_parts`` holds keys of suspected prompt parts to which an answer began,
+    ``completed_parts`` those to which one was complete.
     """
 
     crashes: tuple[Crash, ...] = ()
     clearances: tuple[Clearance, ...] = ()
     trials: tuple[Trial, ...] = ()
     answered_parts: tuple[str, ...] = ()
+    completed_parts: tuple[str, ...] = ()
 
 
 class CrashEvidence:
--- a/knapweedhinge/routing/promptquarantine.py
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -5,6 +5,10 @@
 for engines that run tens of calls at once, of which a node knows only its own: each
 crash makes suspects of the parts of all calls that it left unanswered, and answers
 clear them.
+
+Some parts crash engines only in the middle of an answer. A second quarantine takes the
+crashes that cut off answers, and is told of complete answers only. Crashes for which
+the first one suspects a part don't count there: they cut off many sound answers.
 """
 
 from collections import OrderedDict
@@ -63,10 +67,12 @@
     crashes and that no answer has cleared since, because any of them may be at fault.
     A crash doesn't count against a part if another part with more crashes explains it.
 
-    All times are in seconds on the node's monotonic clock.
+    All times are in seconds on the node's monotonic clock. Crashes that are at most
+    ``min_gap_s`` apart count as one.
     """
 
-    def __init__(self):
+    def __init__(self, min_gap_s: float = 0.0):
+        self._min_gap_s = min_gap_s
         self._crashes: dict[str, _KnownCrash] = {}
         # Ids of the crashes since its last answer, by part.
         self._strikes: dict[str, set[str]] = {}
@@ -74,6 +80,7 @@
         self._blamed: tuple[frozenset[str], ...] = ()
         self._explained: frozenset[str] = frozenset()
         self._reviewed_at = float("-inf")
+        self._excused: frozenset[str] = frozenset()  # crashes, at the last review
 
     def suspects(self, parts: tuple[str, ...], now: float) -> tuple[str, ...]:
         """Return those of a call's parts that a crash of its engine makes suspects."""
@@ -114,17 +121,26 @@
         return cleared
 
     def blamed(
-        self, parts: tuple[str, ...], limits: VotedLimits, now: float
+        self,
+        parts: tuple[str, ...],
+        limits: VotedLimits,
+        now: float,
+        excused: frozenset[str] = frozenset(),
     ) -> frozenset[str]:
-        """Return a blamed combination that a call's parts include, empty if none."""
+        """Return a blamed combination that a call's parts include, empty if none.
+
+        ``excused`` holds the ids of crashes that have another explanation.
+        """
         if not any(len(self._strikes.get(part, ())) >= STRIKES for part in parts):
             return frozenset()
-        self._review(limits, now)
+        self._review(limits, now, excused)
         return next((found for found in self._blamed if found <= {*parts}), frozenset())
 
-    def explained(self, limits: VotedLimits, now: float) -> frozenset[str]:
+    def explained(
+        self, limits: VotedLimits, now: float, excused: frozenset[str] = frozenset()
+    ) -> frozenset[str]:
         """Return the ids of the crashes that blamed parts explain."""
-        self._review(limits, now)
+        self._review(limits, now, excused)
         return self._explained
 
     def suspected_parts(self, crash_id: str) -> frozenset[str]:
@@ -151,14 +167,29 @@
         ]
         return max(times, default=None)
 
-    def _review(self, limits: VotedLimits, now: float) -> None:
+    def suspected_crashes(self) -> frozenset[str]:
+        """Return the ids of the crashes for which a part of another one is suspected.
+
+        Two crashes are enough, before any part is blamed.
+        """
+        return frozenset(
+            crash_id
+            for ids in self._strikes.values()
+            if len(ids) >= MIN_CALLS
+            for crash_id in ids
+        )
+
+    def _review(
+        self, limits: VotedLimits, now: float, excused: frozenset[str] = frozenset()
+    ) -> None:
         """Find the blamed combinations, unless that was done just now.
 
-        Parts with the most crashes come first, of equal ones that answered longest ago,
-        then that of the most calls.
+        Crashes in ``excused`` count for no part. Parts with the most crashes come
+        first, of equal ones that answered longest ago, then that of the most calls.
         """
-        if now - self._reviewed_at <= REVIEW_INTERVAL_S:
+        if now - self._reviewed_at <= REVIEW_INTERVAL_S and excused == self._excused:
             return
+        self._excused = excused
         self._expire(now - limits.quarantine_s)
         self._reviewed_at = now
         ranked = sorted(
@@ -170,17 +201,17 @@
                 part,
             ),
         )
-        blamed, explained = [], set()
+        blamed, explained = [], set(excused)
         for part in ranked:
             unexplained = self._strikes[part] - explained
             if (
-                len(unexplained) < self._needed(part, now)
+                self._separate(unexplained) < self._needed(part, now)
                 or self._different(part, unexplained) < MIN_CALLS
             ):
                 continue
             blamed.append(self._companions(part, unexplained))
             explained |= self._strikes[part]
-        self._blamed, self._explained = tuple(blamed), frozenset(explained)
+        self._blamed, self._explained = tuple(blamed), frozenset(explained - excused)
 
     def _clear(self, part: str, at: float) -> int:
         """Drop the crashes that count against a part until ``at``; return how many."""
@@ -220,6 +251,17 @@
             }
         )
 
+    def _separate(self, crash_ids) -> int:
+        """Return how many of these crashes are at least ``min_gap_s`` apart."""
+        if not self._min_gap_s:
+            return len(crash_ids)
+        count, last = 0, float("-inf")
+        for at in sorted(self._crashes[crash_id].at for crash_id in crash_ids):
+            if at - last > self._min_gap_s:
+                count += 1
+                last = at
+        return count
+
     def _needed(self, part: str, now: float) -> int:
         if now - self._last_answer(part) <= RECENT_ANSWER_S:
             return STRIKES_AFTER_RECENT_ANSWER
--- a/tests/controllers/test_quarantinetracker.py
+++ b/tests/controllers/test_quarantinetracker.py
@@ -67,6 +67,19 @@
     assert tracker.verdict("sound", LIMITS, 10, 3.0).standing is Standing.NORMAL
 
 
+@pytest.mark.parametrize("beside", [True, False])
+def test_parts_of_answers_cut_off_beside_another_part_are_not_blamed(beside):
+    """Sound parts were refused while a part crashed engines that began to answer it."""
+    tracker = QuarantineTracker()
+    for number in range(5):
+        engine = EndpointView(f"e{number}", "", "a", "here", incarnation="i1")
+        if beside:
+            tracker.broke_off(engine, f"tainted{number}", number, ("fatal",))
+        tracker.broke_off(engine, f"s{number}", number, ("part",), answering=True)
+        tracker.crashed(engine, LIMITS, number)
+    assert bool(tracker.blamed_parts(("part",), LIMITS, 5.0)) is not beside
+
+
 def test_an_answer_between_a_crash_and_its_discovery_clears_a_request():
     tracker = QuarantineTracker()
     for number in range(2):
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -244,7 +244,8 @@
 def sound(number: int, first: str = "aa") -> bytes:
     """Return a chat call of the same caller with the same first part."""
     prefix = f"{first}:60,own{number}:40"
-    return chat(f"s{number}", Knapweedhinge_Prompt_Prefix=prefix)
+    body = f"sound {number}".encode()
+    return chat(f"s{number}", Knapweedhinge_Prompt_Prefix=prefix, body=body)
 
 
 def engines(count: int) -> list[Replica]:
--- a/tests/routing/test_promptquarantine.py
+++ b/tests/routing/test_promptquarantine.py
@@ -129,6 +129,18 @@
     assert bool(found) is refused
 
 
+def test_crashes_with_another_explanation_count_for_no_part():
+    prompts, excused = quarantine(*THREE), frozenset({"e0/1"})
+    assert prompts.blamed(("f", "d"), LIMITS, NOW)
+    assert not prompts.blamed(("f", "d"), LIMITS, NOW, excused)
+    assert not prompts.explained(LIMITS, NOW, excused)
+
+
+@pytest.mark.parametrize("count,suspected", [(1, set()), (2, {"e0/1", "e1/1"})])
+def test_a_part_is_suspected_of_two_crashes_or_more(count, suspected):
+    assert quarantine(*THREE[:count]).suspected_crashes() == suspected
+
+
 def test_a_blame_expires_with_its_crashes():
     prompts = quarantine(*THREE)
     assert prompts.blamed(("f", "d"), LIMITS, 3600.0)
