Answer the requests that a starting node holds when it is told to stop

What callors saw: requests that a node had read while it started, and held for up to 0.15 of their time, ended with a closed connection and no answer when the node got SIGTERM. An unsafe one can't be repeated after that.

Cause: serve() stopped a node in two ways. One in service went through RelayNode.stop(); any other ended its process at once, although its servers read requests from the start on. The log shows it: 'stopped before serving' was the last line, without a 'call ended'. Ruled out: answers that are not sent before the process ends, and requests that were never read.

Change: every stop goes through RelayNode.stop(), also one by SIGINT, and a start that fails. A node that isn't ready closes its listener at once and refuses what waits for a catalog, with a short Retry-After, since other nodes accept it. The start goes on meanwhile, so that a catalog that arrives still serves the open calls.

--- a/knapweedhinge/controllers/fleet.py
+++ b/knapweedhinge/controllers/fleet.py
@@ -261,8 +261,8 @@
 
     ``changes`` emits each event that led to a new view. ``nodes`` is the number of
     proxy nodes among which the call rate of a cold endpoint is divided. ``rng`` draws
-    the tokens with which this node starts for a cold endpoint. ``now`` is in seconds
-    on the node's monotonic clock.
+    the tokens with which this node starts for a cold endpoint. ``leaving`` says that
+    the node stops. ``now`` is in seconds on the node's monotonic clock.
     """
 
     def __init__(self, rng: Random):
@@ -270,7 +270,8 @@
         self.view = FleetView()
         self.changes: Subject = Subject()
         self.nodes = 1
-        self._first_catalog = asyncio.Event()
+        self.leaving = False
+        self._catalog_wait_over = asyncio.Event()
         self._cold: dict[str, ColdEndpoint] = {}
         self._lapsed: dict[str, float] = {}
         # Incarnations of endpoints that said in an answer that they leave, by id.
@@ -306,7 +307,7 @@
         if self.view is before:
             return False
         if self.view.catalog is not None:
-            self._first_catalog.set()
+            self._catalog_wait_over.set()
         self.changes.on_next(event)
         return True
 
@@ -321,13 +322,21 @@
         return EndpointSeen(replace(record, leaving=True))
 
     async def wait_for_catalog(self, longest_s: float) -> None:
-        """Wait for the first catalog, but at most ``longest_s`` seconds."""
+        """Wait for the first catalog, but at most ``longest_s`` seconds.
+
+        Don't wait for it on a node that stops.
+        """
         try:
             async with asyncio.timeout(longest_s):
-                await self._first_catalog.wait()
+                await self._catalog_wait_over.wait()
         except TimeoutError:
             return
 
+    def leave(self) -> None:
+        """Note that the node stops, which ends all waits for a first catalog."""
+        self.leaving = True
+        self._catalog_wait_over.set()
+
     def expire(self, now: float) -> None:
         """Remove endpoints whose lapsed records did not return in the grace period.
 
--- a/knapweedhinge/filters/relay/admit.py
+++ b/knapweedhinge/filters/relay/admit.py
@@ -20,6 +20,8 @@
 # the store may be unreachable for longer.
 CATALOG_WAIT_FRACTION = 0.15
 NOT_READY_RETRY_AFTER_S = 0.8  # Retry-After of that refusal, in seconds
+# The same on a node that stops without a catalog; other nodes accept the call at once.
+LEAVING_RETRY_AFTER_S = 0.1
 # Time limit of a call whose caller sets none; the route's timeout applies as well.
 DEFAULT_TIMEOUT_S = 60.0
 
@@ -40,7 +42,7 @@
         """Pass the call on with its route, organisation and deadline.
 
         Raise CallerError for an unknown route, key or model, and RefusedError if the
-        node has no catalog yet or the deadline has passed.
+        node has no catalog yet, stops without one, or the deadline has passed.
         """
         if self._ctx.fleet.view.catalog is None:
             max_wait_s = CATALOG_WAIT_FRACTION * (
@@ -48,6 +50,10 @@
             )
             await self._ctx.fleet.wait_for_catalog(max_wait_s)
         catalog = self._ctx.fleet.view.catalog
+        if catalog is None and self._ctx.fleet.leaving:
+            raise RefusedError(
+                code=ResultCode.LEAVING, retry_after_s=LEAVING_RETRY_AFTER_S
+            )
         if catalog is None:
             raise RefusedError(
                 code=ResultCode.NOT_READY, retry_after_s=NOT_READY_RETRY_AFTER_S
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -254,16 +254,27 @@
         self.metrics_server = self._build_server(self._serve_metrics)
 
     async def start(self) -> None:
-        """Open the servers, read the store, then report ready and join the peers.
+        """Open the servers, read the store, then report ready and join the peers."""
+        await self.listen()
+        await self.begin_serving()
 
-        Joining the peers continues in the background, since calls don't depend on it.
-        """
+    async def listen(self) -> None:
+        """Open the servers, which read requests before the node can serve them."""
         cfg = self.settings
         await self.ready_server.start(*split_address(cfg.doors.ready))
         await self.metrics_server.start(*split_address(cfg.doors.metrics))
         await self.caller_server.start(cfg.listen.ip, cfg.listen.port)
         await self.directory.start(*split_address(cfg.doors.directory))
+
+    async def begin_serving(self) -> None:
+        """Read the store, then report ready and join the peers.
+
+        Joining the peers continues in the background, since calls don't depend on it.
+        A node that was told to stop meanwhile only ends its open calls.
+        """
         await self._load()
+        if self.leaving:
+            return
         self.ready = True
         self.feeds.follow(wire.OPERATOR_TABLE)
         self.feeds.follow(wire.ENDPOINTS_TABLE)
@@ -281,19 +292,21 @@
 
         ``now`` is the time of SIGTERM, from which the platform waits ``grace_s``
         seconds. New calls are still accepted in the first part of that time, because
-        callers may use a cached list of nodes. Calls that last longer are answered
-        with an error, but for streams that have begun, which are broken off.
+        callers may use a cached list of nodes, but not by a node that isn't ready yet.
+        Calls that last longer are answered with an error, but for streams that have
+        begun, which are broken off.
         """
         grace_s = self.settings.promises.grace_s
         end_at = now + grace_s - STOP_MARGIN_S
+        refuse_at = now + ACCEPTING_SHARE * grace_s if self.ready else now
         self.leaving = True
         self.ready = False
+        self.fleet.leave()
         self.caller_server.drain()
         logger.bind(open=self.caller_server.busy_connections, grace_s=grace_s).info(
             "stopping"
         )
         self._spawn(self.peers.leave())
-        refuse_at = now + ACCEPTING_SHARE * grace_s
         while (now := self.clock()) < end_at:
             if now >= refuse_at:
                 self.caller_server.close_listener()
@@ -615,15 +628,17 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     # Blocked while the process started; one that came meanwhile is delivered now.
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    starting = asyncio.create_task(node.start())
-    stopping = asyncio.create_task(stopped.wait())
-    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
-    if starting.done():
-        starting.result()
-        await stopping
+    try:
+        await node.listen()
+        starting = asyncio.create_task(node.begin_serving())
+        stopping = asyncio.create_task(stopped.wait())
+        await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+        if starting.done():
+            starting.result()
+            await stopping
+    finally:
+        # Also if the start failed or goes on: the servers have read requests meanwhile.
         await node.stop(node.clock())
-    else:
-        logger.info("stopped before serving")
     end_process(ExitCode.SUCCESS)
 
 
--- a/tests/platform/test_stop_in_time.py
+++ b/tests/platform/test_stop_in_time.py
@@ -28,8 +28,13 @@
 
 
 @asynccontextmanager
-async def node_process(world: World, tmp_path, vm: str):
-    """Run a node of the world as a process; yield the process and its port."""
+async def node_process(
+    world: World, tmp_path, vm: str, logged: bytes = b'"joined peers"'
+):
+    """Run a node of the world as a process; yield the process and its port.
+
+    ``logged`` must be in its log by then.
+    """
     port = free_port()
     listen = ListenSettings(vm, "127.0.0.1", port, "b", "here", free_port())
     cfg = to_mapping(world.settings()) | {"listen": to_mapping(listen)}
@@ -43,7 +48,7 @@
             stdout=out,
         )
     try:
-        await world.until(lambda: b'"joined peers"' in log.read_bytes(), 20.0)
+        await world.until(lambda: logged in log.read_bytes(), 20.0)
         yield child, port
     finally:
         if child.returncode is None:
