End a node of the chat interface that is told to stop while it starts

What operators saw: a node that waits for its platform ignored SIGTERM and SIGINT until the platform answered, so that it was killed.

Cause: serve() awaited the whole start before it looked at the signal.

Change: serve() waits for the start or the signal, and cancels a start that isn't over; Node.stop() closes only what was opened.

Evidence: both rows of test_a_node_that_waits_for_the_platform_ends_when_it_is_told_to failed before (still running 3 s after the signal) and pass now.

--- a/knapweedhinge/node/daemon.py
+++ b/knapweedhinge/node/daemon.py
@@ -17,21 +17,33 @@
 async def serve(settings: NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT, then shut it down gracefully.
 
-    Once the node serves, its VM, IP number and port are written to standard output as
-    one JSON line, since the port may have been chosen by the system.
+    A node that is still starting gives that up. Once the node serves, its VM, IP
+    number and port are written to standard output as one JSON line, since the port may
+    have been chosen by the system.
     """
     node = Node(settings)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stopped.set)
-    await node.start()
-    listen = settings.listen
+    starting = asyncio.create_task(node.start())
+    stopping = asyncio.create_task(stopped.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    if starting.done():
+        starting.result()
+        _write_ready_line(node)
+        await stopping
+    else:
+        starting.cancel()
+        await asyncio.gather(starting, return_exceptions=True)
+    await node.stop()
+
+
+def _write_ready_line(node: Node) -> None:
+    listen = node.settings.listen
     ready = {"vm": listen.vm, "ip": listen.ip, "port": node.port}
     sys.stdout.write(json.dumps(ready) + "\n")
     sys.stdout.flush()
-    await stopped.wait()
-    await node.stop()
 
 
 def run(settings: NodeSettings) -> int:
--- a/knapweedhinge/node/node.py
+++ b/knapweedhinge/node/node.py
@@ -105,21 +105,27 @@
 
         Callers cache the list of addresses for ``address_ttl_s`` seconds, so the node
         continues to serve for that time after it has left the list, and for a margin
-        in which a caller connects to an address that it found to be valid.
+        in which a caller connects to an address that it found to be valid. A node that
+        hasn't served yet only closes what its start has opened.
         """
-        self.state.set_phase(Phase.LEAVING)
-        await self.peer_sync.peers.leave()
-        await self.permit_coordinator.stop()
-        await asyncio.sleep(self.settings.http.address_ttl_s + CONNECT_MARGIN_S)
-        await self._server.stop()
-        await self.ctx.claims.detached.drain(self.settings.http.shutdown_s)
+        if self.state.current.phase is Phase.SERVING:
+            self.state.set_phase(Phase.LEAVING)
+            await self.peer_sync.peers.leave()
+            await self.permit_coordinator.stop()
+            await asyncio.sleep(self.settings.http.address_ttl_s + CONNECT_MARGIN_S)
+        if self._server is not None:
+            await self._server.stop()
+            await self.ctx.claims.detached.drain(self.settings.http.shutdown_s)
         await self._tasks.stop()
-        await self.ctx.bills.stop()
-        await self.ctx.claims.settle()
-        await self.ctx.reserved.close_all()
-        await self.peer_sync.peers.stop()
+        if self.ctx is not None:
+            await self.ctx.bills.stop()
+            await self.ctx.claims.settle()
+            await self.ctx.reserved.close_all()
+        if self.peer_sync is not None:
+            await self.peer_sync.peers.stop()
         await self._sessions.close()
-        await self.platform.close()
+        if self.platform is not None:
+            await self.platform.close()
         logger.info("stopped")
 
     async def poll_until_configured(self) -> None:
