Delete the roster row of a node that is stopped while it joins its peers

What callors could see: the address of a node that had ended, named by others that read its row in the roster, until their probes failed.

Cause: RelayPeers.leave() looked only at a join that was over. The join went on until the node closed, and Engine.start() then left the row that it had written.

Change: leave() cancels a join that isn't over; Engine.start() deletes its row when it is cancelled or fails, within the time that leaving has.

Evidence: the new test failed before (the row was still there after the stop) and passes.

--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -85,6 +85,7 @@
         self._trials = trials
         self._release_reporter = ReleaseReporter(ctx.releases)
         self._peers: Peers | None = None
+        self._joining: asyncio.Task | None = None
         self._gossip: RowGossip | None = None
         self._key_row: Row | None = None
         self._aggregator = LoadAggregator()
@@ -105,8 +106,10 @@
     async def join(self) -> None:
         """Get the peers' shared key from the store, then join the peers.
 
-        Waits a random time first. Retries without end until the store provides the key.
+        Waits a random time first. Retries without end until the store provides the key,
+        or until :meth:`leave` is called.
         """
+        self._joining = asyncio.current_task()
         await asyncio.sleep(JOIN_SPREAD_S * self._ctx.rng.random())
         cfg, key = self._ctx.settings, await self._shared_key()
         node = NodeSettings(
@@ -141,9 +144,14 @@
         logger.bind(members=len(self.members)).info("joined peers")
 
     async def leave(self) -> None:
-        """Announce to the peers that this node accepts no more calls."""
+        """Announce to the peers that this node accepts no more calls.
+
+        If it hasn't joined them yet, it no longer does.
+        """
         if self._peers is not None:
             await self._peers.leave()
+        elif self._joining is not None:
+            self._joining.cancel()
 
     async def stop(self) -> None:
         """Leave the peers, unless that was done, and close their connections."""
--- a/knapweedhinge/peers/engine.py
+++ b/knapweedhinge/peers/engine.py
@@ -160,11 +160,14 @@
         Retries until the platform has stored the roster row; cancel it to give up.
         """
         await self._stack.enter_async_context(rpc_loop())
+        me = None
         try:
             port = await self.links.serve()
             me = self._own_member(port)
             joined = await self._roster_maintenance.join(me, self.clock())
         except BaseException:
+            if me is not None:  # its row may be written already
+                await self._roster_maintenance.leave(me)
             await self.stop()
             raise
         now = self.clock()
--- a/tests/platform/test_stop_while_starting.py
+++ b/tests/platform/test_stop_while_starting.py
@@ -8,6 +8,7 @@
 from knapweedhinge.conf import ListenSettings
 from knapweedhinge.conf.relay import Promises
 from knapweedhinge.node import relay
+from knapweedhinge.peers.roster import Roster
 from knapweedhinge.test.replica import Replica
 from knapweedhinge.test.rowstore import StoreFaults
 from tests.platform.test_stop_in_time import node_process
@@ -169,3 +170,17 @@
         await running
     reply = await asking
     assert (reply.status, reply.whole) == (503, True)
+
+
+async def test_a_node_that_is_stopped_while_it_joins_leaves_no_roster_row(monkeypatch):
+    """Its row stayed, and other nodes took it for a member that had just joined."""
+
+    async def wait_forever(roster: Roster, vm: str) -> None:
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(Roster, "contacts", wait_forever)
+    async with starting_world() as world:
+        rows = world.store.rows
+        await world.until(lambda: any(table == "roster" for table, _ in rows))
+        await world.node.stop(world.node.clock())
+        assert not any(table == "roster" for table, _ in rows)
