Answer the requests that wait on a connection before a stopping server closes it

What callers saw: of several requests sent at once on a connection, only the first got an answer when the node was told to stop meanwhile; the others had been read.

Cause: an answer of a server that drains ended keep-alive whatever waited behind it.

Change: the connection is kept until the complete requests that wait are answered; the last answer announces the close. Once the listener is closed they are refused, as before.

Evidence: 3 of 3 rows of the new test failed before (one answer of 3 and of 60) and pass.

--- a/knapweedhinge/http1/connection.py
+++ b/knapweedhinge/http1/connection.py
@@ -97,6 +97,11 @@
         """Return whether a complete request is being answered."""
         return self._current is not None
 
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether complete requests wait behind the one being answered."""
+        return bool(self._waiting)
+
     @property
     def body_bytes(self) -> int:
         """Return the bytes of the bodies of requests that are not answered yet."""
@@ -337,7 +342,6 @@
     def _start_handling(self, exchange: Exchange) -> None:
         self._current = exchange
         if self.server.closed:
-            exchange.keep_alive = False
             exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_ELSEWHERE)
             return
         self._task = asyncio.ensure_future(self.server.handle(exchange))
--- a/knapweedhinge/http1/exchange.py
+++ b/knapweedhinge/http1/exchange.py
@@ -111,9 +111,14 @@
         await self._connection.wait_writable()
 
     def _head(self, status: int, headers: Headers) -> list[bytes]:
-        """Return the head, and decide whether the connection is kept alive."""
+        """Return the head, and decide whether the connection is kept alive.
+
+        A server that stops still answers the complete requests that wait.
+        """
         self.began = True
-        keep = self.keep_alive and not self._connection.server.draining
+        server = self._connection.server
+        stopping = server.draining or server.closed
+        keep = self.keep_alive and (self._connection.has_waiting or not stopping)
         self.keep_alive = keep and self.version != "1.0"
         head = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b"Status"))]
         head += [b"%s: %s\r\n" % pair for pair in headers]
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 
+import pytest
+
 from knapweedhinge.http1 import Limits, Server
 
 PIECES = (b"first piece", b"second piece", b"third piece")
@@ -43,3 +45,43 @@
     finally:
         await server.stop()
     assert late == []
+
+
+STOPS = {
+    # requests sent at once, whether the listener is closed, statuses of the answers
+    "draining": (3, False, [200, 200, 200]),
+    "closed": (3, True, [200, 503, 503]),
+    "many, closed": (60, True, [200] + 59 * [503]),
+}
+
+
+@pytest.mark.parametrize("count,closed,statuses", STOPS.values(), ids=STOPS)
+async def test_requests_that_wait_are_answered_by_a_server_that_stops(
+    count, closed, statuses
+):
+    """Its connection was closed behind the first answer, and the others were lost."""
+    may_answer = asyncio.Event()
+
+    async def handle(exchange):
+        await may_answer.wait()
+        exchange.respond(200, (), b"ok")
+
+    server = Server(handle, Limits)
+    await server.start("127.0.0.1", 0)
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(count * b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        server.drain()
+        if closed:
+            server.close_listener()
+        may_answer.set()
+        async with asyncio.timeout(2.0):
+            data = await reader.read()
+        writer.close()
+    finally:
+        await server.stop()
+    heads = data.split(b"HTTP/1.1 ")[1:]
+    assert [int(head[:3]) for head in heads] == statuses
+    closing = [b"Connection: close" in head for head in heads]
+    assert closing == [False] * (count - 1) + [True]
