Ask for a larger model only where the call may run another time

What callers saw: a request on a stream route with sizes that can't be resumed, which may run once at most, ran on two models whenever the first answer was of low confidence.

Cause: whether a call may run again was asked in four places in different words, and not where a second answer is decided, weighed or not. The log line of the call shows the first attempt ended by 'confidence 30, asking m2'. Ruled out: a route taken for resumable, and a retry after a failure (with a reset the same call runs once).

Change: CallExecution.runs_left answers the question for all paths, and every attempt asks it once more right before it is sent. Calls that can't have a second answer no longer count in what second answers are worth.

--- a/knapweedhinge/filters/relay/attempt.py
+++ b/knapweedhinge/filters/relay/attempt.py
@@ -135,10 +135,11 @@
         self._pool = ctx.pools.get(self.endpoint, max_connections, ctx.fleet.nodes)
         now = ctx.clock()
         self._channel = await self._pool.acquire(
-            now, unrepeatable=not req.route.may_run_again
+            now, unrepeatable=not execution.may_run_again
         )
         now = ctx.clock()
         self._recheck(now)
+        execution.ensure_run_left()
         req = execution.req
         if not ctx.fleet.admit_cold(self.endpoint.id, now):
             raise self._not_run_error("the endpoint is cold", ResultCode.NO_ENDPOINT)
--- a/knapweedhinge/filters/relay/escalate.py
+++ b/knapweedhinge/filters/relay/escalate.py
@@ -97,7 +97,7 @@
         return None
     request = _weighed_request(execution, attempt, tracker)
     largest = request.sizes[-1]
-    if size == request.sizes[0]:
+    if size == request.sizes[0] and request.runs_left:
         gain = gain_in_calm(request, largest, confidence, cfg)
         tracker.doubted(req.service, gain, added_work_s(request, largest))
     decision = decide_escalation(request, size, confidence, cfg)
@@ -155,7 +155,7 @@
         "sizes": req.route.sizes,
         "elapsed_s": now - req.received_at,
         "objective_s": req.route.objective_s,
-        "runs_left": execution.most_runs - execution.runs,
+        "runs_left": execution.runs_left,
         "retry_budget_left": ctx.budget.left(req.service, now),
         "prefill_s": {
             size: ctx.speeds.of(execution.service, size).seconds(tokens)
--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -104,6 +104,8 @@
     ``last_event_number`` and ``sent_bytes`` say how much of a stream the caller has
     already received, ``new_bytes`` how much of that were events. ``stale_bytes`` counts
     what the present endpoint sent since its last new event.
+
+    Whether the call may run another time is answered by ``runs_left`` only.
     """
 
     def __init__(
@@ -183,7 +185,7 @@
         now = ctx.clock()
         retry_request = RetryRequest(
             organisation=self.req.service,  # the retry budget is kept by service
-            idempotent=route.may_run_again,
+            idempotent=self.may_run_again,
             deadline=self.req.deadline_at,
             attempts=self.attempts,
             resumable=route.resumable and self.last_event_number is not None,
@@ -219,7 +221,7 @@
         prefill time in seconds. None means that only the deadline limits the wait.
         """
         route = self.req.route
-        if not route.may_run_again or not (first or route.pause_s):
+        if not self.may_run_again or not (first or route.pause_s):
             return None
         remaining_s = self.req.deadline_at - self.ctx.clock()
         allowed_s = min(route.objective_s, remaining_s) if first else route.pause_s
@@ -230,18 +232,39 @@
         """Return whether the call could still be repeated at another endpoint."""
         if self.sent_bytes and self.last_event_number is None:
             return False
-        if self.runs >= self.most_runs:
+        if self.runs_left < 1:
             return False
         return self.ctx.budget.left(self.req.service, self.ctx.clock()) >= 1.0
 
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether it is safe to run the call a second time."""
+        return self.req.route.may_run_again
+
     @property
     def most_runs(self) -> int:
         """Return how many endpoints may run the call.
 
-        One if it runs to test whether it still crashes them: the endpoint may crash
-        only some time after the call seems to have ended there.
+        One if another run isn't safe, or if it runs to test whether it still crashes
+        them: the endpoint may crash only some time after the call seems to have ended
+        there.
+        """
+        if self.req.tested_strikes or not self.may_run_again:
+            return 1
+        return self.req.route.most_runs
+
+    @property
+    def runs_left(self) -> int:
+        """Return how many more endpoints may run the call."""
+        return max(0, self.most_runs - self.runs)
+
+    def ensure_run_left(self) -> None:
+        """Raise RefusedError if the call may have run as often as it may.
+
+        Every attempt asks this right before it is sent, for whatever reason it is made.
         """
-        return 1 if self.req.tested_strikes else self.req.route.most_runs
+        if self.runs_left < 1:
+            raise RefusedError("no further run allowed", code=ResultCode.NO_ENDPOINT)
 
     @property
     def service(self) -> CallService | None:
@@ -304,7 +327,7 @@
         if attempt.head.good:
             attempt.succeeded()
             return answer
-        if attempt.head.status >= 500 and self.req.route.may_run_again:
+        if attempt.head.status >= 500 and self.may_run_again:
             raise FailedAnswerError(answer)
         attempt.error_answered(server_error=attempt.head.status >= 500)
         return answer
