Repeat a call only if its present route allows that as well

What callers saw: a call in flight, whose route became unsafe, could no longer be resumed, got fewer attempts or gave way to a more specific unsafe one, ran another time by the route that had admitted it.

Cause: recheck_admission looks at the newest catalog for the key and the existence of a route, and keeps the call's route. The tests wait until the change is in force, so it isn't late.

Change: CallExecution asks both routes, at the decision and right before the send. A call admitted as unsafe stays so.

--- a/knapweedhinge/filters/relay/run.py
+++ b/knapweedhinge/filters/relay/run.py
@@ -115,6 +115,8 @@
         self.req = req
         self.trace = trace
         self.in_trial = in_trial
+        self._newest_catalog = req.view.catalog
+        self._newest_route = req.route
         self.chosen_model = first_size(req.route.sizes) if req.call.any_model else ""
         self.attempts: tuple[Attempt, ...] = ()
         self.tried: frozenset[str] = frozenset()
@@ -238,8 +240,11 @@
 
     @property
     def may_run_again(self) -> bool:
-        """Return whether it is safe to run the call a second time."""
-        return self.req.route.may_run_again
+        """Return whether it is safe to run the call a second time.
+
+        Both the route that admitted it and the one that it has now must allow that.
+        """
+        return self.req.route.may_run_again and self._route_now().may_run_again
 
     @property
     def most_runs(self) -> int:
@@ -251,7 +256,7 @@
         """
         if self.req.tested_strikes or not self.may_run_again:
             return 1
-        return self.req.route.most_runs
+        return min(self.req.route.most_runs, self._route_now().most_runs)
 
     @property
     def runs_left(self) -> int:
@@ -261,11 +266,21 @@
     def ensure_run_left(self) -> None:
         """Raise RefusedError if the call may have run as often as it may.
 
-        Every attempt asks this right before it is sent, for whatever reason it is made.
+        Every attempt asks this right before it is sent, for whatever reason it is made:
+        the route may have changed since that was decided.
         """
         if self.runs_left < 1:
             raise RefusedError("no further run allowed", code=ResultCode.NO_ENDPOINT)
 
+    def _route_now(self) -> CallRoute:
+        """Return the call's route in the newest catalog, its own if there is none."""
+        catalog = self.ctx.fleet.view.catalog
+        if catalog is not self._newest_catalog:
+            call = self.req.call
+            self._newest_catalog = catalog
+            self._newest_route = catalog.route(call.host, call.path) or self.req.route
+        return self._newest_route
+
     @property
     def service(self) -> CallService | None:
         """Return the catalog entry of the call's service, None if there is none."""
--- a/tests/platform/test_second_runs.py
+++ b/tests/platform/test_second_runs.py
@@ -1,4 +1,4 @@
-"""A call runs a second time only if its route allows that."""
+"""A call runs a second time only if every route that it has had allows that."""
 
 import asyncio
 
@@ -6,10 +6,12 @@
 
 from knapweedhinge.conf.escalation import EscalationSettings
 from knapweedhinge.conf.switches import OFF, ON
+from knapweedhinge.filters.relay import run
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import World, catalog, chat, request, route
 
 CONFIDENCE = {"small": 10, "large": 90}
+HELD_S = 0.4  # in which an endpoint holds the call, while its route changes
 REFUSALS = {408, 421, 429, 503}  # they promise that the call has not run
 
 
@@ -80,3 +82,121 @@
     assert reply.status not in REFUSALS
     if not faults:
         assert (reply.status, reply.whole) == (200, True)
+
+
+CHANGES = {
+    # kind and fields of the route that admits the call, the routes that follow, faults
+    "safe to unsafe, error": ("safe", {}, [route("chat", "unsafe")], {"fail": True}),
+    "safe to unsafe, reset": ("safe", {}, [route("chat", "unsafe")], {"reset": True}),
+    "unsafe to safe": ("unsafe", {}, [route("chat", "safe")], {"reset": True}),
+    "a longer prefix, unsafe": (
+        "safe",
+        {},
+        [route("chat", "safe"), route("once", "unsafe", prefix="/chat/x")],
+        {"reset": True},
+    ),
+    "safe, fewer attempts": (
+        "safe",
+        {},
+        [route("chat", "safe", attempts=1)],
+        {"reset": True},
+    ),
+    "no longer resumable, reset": (
+        "stream",
+        {},
+        [route("chat", "stream", resumable=False)],
+        {"reset": True},
+    ),
+    "no longer resumable, low confidence": (
+        "stream",
+        {},
+        [route("chat", "stream", resumable=False)],
+        {},
+    ),
+    "resumable from now on": (
+        "stream",
+        {"resumable": False},
+        [route("chat", "stream")],
+        {"reset": True},
+    ),
+}
+
+
+@pytest.mark.parametrize("escalation", SETTINGS.values(), ids=SETTINGS)
+@pytest.mark.parametrize("kind,fields,routes,faults", CHANGES.values(), ids=CHANGES)
+async def test_a_call_runs_once_if_its_route_changes_meanwhile(
+    kind, fields, routes, faults, escalation
+):
+    """A call ran again by its old route when the new one no longer allowed that."""
+    first = catalog(routes=[route("chat", kind, **fields)])
+    async with World(replicas(), first, escalation=escalation) as world:
+        for replica in world.replicas.values():
+            replica.faults.late_s = HELD_S
+            for name, value in faults.items():
+                setattr(replica.faults, name, value)
+        asking = asyncio.create_task(world.ask(asked("/chat/x", kind == "stream")))
+        await world.until(lambda: runs(world))
+        world.change(routes=routes)
+        node = world.node
+        await world.until(lambda: node._revision() == world.catalog["version"], HELD_S)
+        reply = await asking
+        assert len(runs(world)) == 1
+    assert reply.status not in REFUSALS
+    if not faults:
+        assert (reply.status, reply.whole) == (200, True)
+
+
+async def test_a_call_is_not_sent_again_if_its_route_changes_after_that_was_decided(
+    monkeypatch,
+):
+    """The decision to send it again was not looked at once more before it was sent."""
+    sends = []
+    async with World(replicas(), catalog()) as world:
+
+        async def change_and_open(execution):
+            sends.append(execution)
+            if len(sends) > 1:
+                world.change(routes=[route("look", "unsafe")])
+                version = world.catalog["version"]
+                await world.until(lambda: world.node._revision() == version)
+            return await open_attempt(execution)
+
+        open_attempt = run.open_attempt
+        monkeypatch.setattr(run, "open_attempt", change_and_open)
+        for replica in world.replicas.values():
+            replica.faults.reset = True
+        reply = await world.ask(request("/look/x"))
+        assert len(runs(world)) == 1
+    assert len(sends) == 2
+    assert (reply.status, reply.whole) == (502, True)
+
+
+STILL = {
+    # kind, faults of the first endpoint that is asked: these calls may run again
+    "safe": ("safe", {"reset": True}),
+    "safe, server error": ("safe", {"fail": True}),
+    "stream that can be resumed": ("stream", {"cut_in_event": 3}),
+}
+
+
+@pytest.mark.parametrize("kind,faults", STILL.values(), ids=STILL)
+async def test_a_call_that_may_run_again_still_does_after_a_change_of_its_route(
+    kind, faults
+):
+    first = catalog(routes=[route("chat", kind)])
+    async with World(replicas(), first) as world:
+        for replica in world.replicas.values():
+            replica.confidence = {}
+            replica.faults.late_s = HELD_S
+            for name, value in faults.items():
+                setattr(replica.faults, name, value)
+        asking = asyncio.create_task(world.ask(asked("/chat/x", kind == "stream")))
+        await world.until(lambda: runs(world))
+        for replica in world.replicas.values():
+            if replica.id not in runs(world):
+                for name in faults:
+                    setattr(replica.faults, name, type(replica.faults)().__dict__[name])
+        world.change(routes=[route("chat", kind, timeoutMs=2900)])
+        reply = await asking
+        assert len(runs(world)) == 2
+    assert (reply.status, reply.whole) == (200, True)
