Ask a service call's present route before the chat interface retries it

What callers saw: a call of a plain service in flight, whose route became one that isn't idempotent, was retried after a failure by the route that had admitted it.

Change: the retry asks both routes, and ensure_may_run asks them again right before the send, by the new field may_have_run.

--- a/knapweedhinge/filters/admit.py
+++ b/knapweedhinge/filters/admit.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from knapweedhinge.conf import Configuration, PeerSettings
+from knapweedhinge.conf.cooperative import Route, Service
 from knapweedhinge.controllers.configuration_staleness import Refusing, staleness
 from knapweedhinge.controllers.snapshot import Phase, Snapshot
 from knapweedhinge.core.codes import ResultCode
@@ -115,16 +116,19 @@
         raise CallerError(code=ResultCode.SERVICE_UNKNOWN)
     if call.service not in req.organisation.allowed_services:
         raise RefusedError(code=ResultCode.SERVICE_NOT_ALLOWED)
-    route = next(
-        (candidate for candidate in service.routes if route_matches(candidate, call)),
-        None,
-    )
+    route = find_route(service, call)
     if route is None:
         raise CallerError(code=ResultCode.ROUTE_UNKNOWN)
     deadline_at = min(req.deadline_at, req.received_at + route.deadline_s)
     return replace(req, class_id=service.id, route=route, deadline_at=deadline_at)
 
 
+def find_route(service: Service, call: ServiceCall) -> Route | None:
+    """Return the service's first route that matches the call, None without one."""
+    matching = (route for route in service.routes if route_matches(route, call))
+    return next(matching, None)
+
+
 def route_matches(route, call: ServiceCall) -> bool:
     """Return whether the route's method and path match the call.
 
--- a/knapweedhinge/filters/attempt.py
+++ b/knapweedhinge/filters/attempt.py
@@ -3,11 +3,12 @@
 import msgspec
 
 from knapweedhinge.core.codes import ResultCode
-from knapweedhinge.core.exceptions import RefusedError
+from knapweedhinge.core.exceptions import OutcomeUnknownError, RefusedError
 from knapweedhinge.core.tokens import AttemptClaims
 from knapweedhinge.endpoints import EngineCall
 from knapweedhinge.filters.admit import ensure_current
 from knapweedhinge.filters.choose import may_run
+from knapweedhinge.filters.retry import may_run_again
 from knapweedhinge.filters.types import ChatCall, Context, Request, ServiceCall
 
 
@@ -42,7 +43,7 @@
     """Check the deadline and the caller's rights once more, right before sending.
 
     They are checked against the newest configuration. Raise RefusedError if the request
-    may no longer run.
+    may no longer run, OutcomeUnknownError if it may have run and can't run again.
     """
     newest = ctx.state.current
     now = ctx.clock()
@@ -60,3 +61,5 @@
         case ServiceCall():
             if req.call.service not in organisation.allowed_services:
                 raise RefusedError(code=ResultCode.SERVICE_NOT_ALLOWED)
+            if req.may_have_run and not may_run_again(req, ctx):
+                raise OutcomeUnknownError()
--- a/knapweedhinge/filters/place.py
+++ b/knapweedhinge/filters/place.py
@@ -5,7 +5,7 @@
 from types import TracebackType
 
 from knapweedhinge.core.codes import ResultCode
-from knapweedhinge.core.exceptions import RefusedError
+from knapweedhinge.core.exceptions import KnapweedhingeError, RefusedError
 from knapweedhinge.filters.attempt import ensure_may_run
 from knapweedhinge.filters.types import Context, Request
 from knapweedhinge.routing.balance import choose_endpoint, choose_service_endpoint
@@ -191,11 +191,11 @@
 def ensure_slot_may_run(req: Request, ctx: Context, slot: EndpointSlot) -> None:
     """Check once more, right before sending, that the request may run.
 
-    Raise RefusedError and release the slot if it may not.
+    Release the slot and raise what ``ensure_may_run()`` raises if it may not.
     """
     try:
         ensure_may_run(req, ctx)
-    except RefusedError:
+    except KnapweedhingeError:
         slot.close()
         raise
 
--- a/knapweedhinge/filters/retry.py
+++ b/knapweedhinge/filters/retry.py
@@ -5,6 +5,7 @@
 
 from knapweedhinge.core.codes import RunState
 from knapweedhinge.core.exceptions import EndpointError, KnapweedhingeError
+from knapweedhinge.filters.admit import find_route
 from knapweedhinge.filters.types import (
     AnyAnswer,
     ChatCall,
@@ -46,7 +47,12 @@
                 attempts += (Attempt(exc.code, exc.run_state),)
                 delay_s = self._delay_s(req, attempts, exc)
                 avoid = req.avoid | {exc.endpoint_id}
-                req = replace(req, avoid=avoid, attempt=req.attempt + 1)
+                req = replace(
+                    req,
+                    avoid=avoid,
+                    attempt=req.attempt + 1,
+                    may_have_run=overall_run_state(attempts) is not RunState.NOT_RUN,
+                )
                 await asyncio.sleep(delay_s)
             except KnapweedhingeError as exc:
                 if overall_run_state(attempts) is not RunState.NOT_RUN:
@@ -60,7 +66,7 @@
         ctx = self._ctx
         retry_request = RetryRequest(
             organisation=req.organisation.id,
-            idempotent=is_idempotent(req),
+            idempotent=may_run_again(req, ctx),
             deadline=req.deadline_at,
             attempts=attempts,
         )
@@ -77,3 +83,12 @@
 def is_idempotent(req: Request) -> bool:
     """Return whether the request may run twice; a chat request always may."""
     return isinstance(req.call, ChatCall) or req.route.idempotent
+
+
+def may_run_again(req: Request, ctx: Context) -> bool:
+    """Return whether the request may run twice by its route, also as it is now."""
+    if isinstance(req.call, ChatCall):
+        return True
+    service = ctx.state.current.configuration.service(req.call.service)
+    route = find_route(service, req.call) if service is not None else None
+    return is_idempotent(req) and (route is None or route.idempotent)
--- a/knapweedhinge/filters/types.py
+++ b/knapweedhinge/filters/types.py
@@ -75,6 +75,7 @@
     the ids of endpoints where earlier attempts failed. ``fingerprint`` identifies
     requests of the same content. ``alone`` says that the request is suspected of
     crashing engines, and should run at an endpoint without other work.
+    ``may_have_run`` says that an earlier attempt ran or may have run.
     """
 
     request_id: str
@@ -97,6 +98,7 @@
     attempt: int = 0
     fingerprint: str = ""
     alone: bool = False
+    may_have_run: bool = False
 
 
 @dataclass(frozen=True)
