Take a response whose first line isn't HTTP/1 for a broken answer

What callers saw: an answer with the status 000, 099, 600 or 999 and the body that an endpoint in trouble had sent, as 'HTTP/1.1 0 Status' or a 200 of another protocol; a body in a transfer coding whose header had been dropped.

Cause: the parser accepts every three digits, HTTP/0.9 and 2.0, RTSP and ICE, control characters in the reason phrase and any transfer coding that ends in chunked; nothing behind it asked for more. Ruled out: a status that isn't a number read as 0 (2e2 is refused).

Change: the channel checks protocol, version, status, phrase and coding of each response. Another one is an answer that broke off: retried where that is safe, else 502.

--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -1,6 +1,7 @@
 """Client side of an HTTP connection, which carries one request at a time."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -28,6 +29,11 @@
 # Shared by all connections: the event loop parses what it reads before it reads more.
 _receive_buffer = bytearray(RECEIVE_BYTES)
 MAX_SKIPPED_BYTES = 1024 * 1024  # of responses to other requests
+HTTP_VERSIONS = ("1.0", "1.1")
+PROTOCOL = b"HTTP/"  # the parser accepts responses of other protocols as well
+MIN_STATUS, MAX_STATUS = 100, 599
+SWITCHING_PROTOCOLS = 101  # never asked for
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 # TCP timeouts, so that the kernel ends a connection to a vanished peer after about 3 s.
 USER_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 1
@@ -96,6 +102,9 @@
         self._complete = False
         self._until_close = False
         self._head_only = False
+        self._protocol = (
+            b""  # first bytes of the first response, CRLF before it left out
+        )
         self._unexpected_data = False  # not part of the awaited response
         self.reusable = True
         self.idle_since = 0.0
@@ -134,6 +143,7 @@
         """
         self._is_expected = is_expected
         self._busy = True
+        self._protocol = b""
         self._head_only = head_only
         self._head = None
         self._complete = False
@@ -256,10 +266,16 @@
             return
         self._framing_bytes += len(data)
         try:
+            self._check_protocol(data)
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (
+            AnswerBrokenError,
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as exc:
             self._unexpected_data = True
-            self._break(f"malformed response: {exc}")
+            cause = getattr(exc.__context__ or exc, "message", exc)
+            self._break(f"malformed response: {cause}")
         if self._skipped_bytes > MAX_SKIPPED_BYTES:
             self._break("responses to other requests are too long")
         if self._framing_bytes > MAX_FRAMING_BYTES:
@@ -290,6 +306,11 @@
         self._headers = []
         self._header_bytes = 0
 
+    def on_status(self, phrase: bytes) -> None:
+        """Check the reason phrase, or a part of it."""
+        if CONTROL_BYTE.search(phrase):
+            raise AnswerBrokenError(f"reason phrase {phrase[:40]!r}")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
         self._header_bytes += len(name) + len(value)
@@ -301,7 +322,23 @@
         """Store the head, or start to skip a response to another request."""
         if self._complete:
             return
-        status = self._parser.get_status_code()
+        status, version = (
+            self._parser.get_status_code(),
+            self._parser.get_http_version(),
+        )
+        if (
+            version not in HTTP_VERSIONS
+            or not MIN_STATUS <= status <= MAX_STATUS
+            or status == SWITCHING_PROTOCOLS
+        ):
+            raise AnswerBrokenError(f"status {status:03} of HTTP/{version}")
+        codings = [
+            value
+            for name, value in self._headers
+            if name.lower() == b"transfer-encoding"
+        ]
+        if codings and (version == "1.0" or codings[0].strip().lower() != b"chunked"):
+            raise AnswerBrokenError(f"transfer coding {codings[0][:40]!r}")
         self._interim = 100 <= status < 200
         if self._interim:
             return
@@ -348,6 +385,14 @@
         self._complete = True
         self._wake()
 
+    def _check_protocol(self, data: bytes) -> None:
+        """Raise AnswerBrokenError if the response begins like one of no HTTP server."""
+        if len(self._protocol) < len(PROTOCOL):
+            begin = (self._protocol + data[:MAX_HEADER_BYTES]).lstrip(b"\r\n")
+            self._protocol = begin[: len(PROTOCOL)]
+            if not PROTOCOL.startswith(self._protocol):
+                raise AnswerBrokenError(f"it begins with {begin[:20]!r}")
+
     def _has_arrived(self, head: bool) -> bool:
         if self._error is not None or self._complete:
             return True
