Take an unframed answer for cut if its server ended without the whole request

What callers saw: a part of an answer as a whole one, where an endpoint answered an upload without length, ended its side and dropped the connection while the upload was written.

Cause: the end of the connection completes a response without length, and the reset that follows isn't known at that moment.

Change: at such an end the channel looks at its own side: bytes in its buffer, an error at the socket, bytes that the peer's kernel hasn't acknowledged. With any of these the answer broke off.

--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -1,12 +1,16 @@
 """Client side of an HTTP connection, which carries one request at a time."""
 
 import asyncio
+import fcntl
 import re
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
+from loguru import logger
 
 from knapweedhinge.http1.errors import (
     AnswerBrokenError,
@@ -34,6 +38,7 @@
 MIN_STATUS, MAX_STATUS = 100, 599
 SWITCHING_PROTOCOLS = 101  # never asked for
 CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+QUEUE_SIZE = struct.Struct("i")  # of a socket's send queue
 # TCP timeouts, so that the kernel ends a connection to a vanished peer after about 3 s.
 USER_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 1
@@ -68,6 +73,19 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes written to a TCP socket its peer hasn't acknowledged.
+
+    0 where the system doesn't tell.
+    """
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+    except OSError as exc:
+        logger.debug(f"no size of the send queue: {exc!r}")
+        return 0
+    return QUEUE_SIZE.unpack(found)[0]
+
+
 class Channel(asyncio.BufferedProtocol):
     """A connection; :meth:`send` a request, then await :meth:`head` and :meth:`read`.
 
@@ -285,6 +303,9 @@
         """Process an orderly close, which completes a body without length."""
         self.reusable = False
         if self._busy and self._until_close and not self._complete:
+            if self._ended_early():
+                self._break("the server ended it without reading the whole request")
+                return False
             self._complete = True
             self._wake()
         return False
@@ -393,6 +414,19 @@
             if not PROTOCOL.startswith(self._protocol):
                 raise AnswerBrokenError(f"it begins with {begin[:20]!r}")
 
+    def _ended_early(self) -> bool:
+        """Return whether the connection ended before the server had the whole request.
+
+        A response without length may have been cut then: a server that resets the
+        connection may have ended its side before, and only the reset is missing yet.
+        """
+        sock = self._transport.get_extra_info("socket")
+        return (
+            self._transport.get_write_buffer_size() > 0
+            or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+            or unacknowledged_bytes(sock) > 0
+        )
+
     def _has_arrived(self, head: bool) -> bool:
         if self._error is not None or self._complete:
             return True
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -159,3 +159,35 @@
     answer = head % (version, NAMES, coding) + chunks
     first, _ = await ask_raw(kind, answer, "close")
     assert (first.status, first.whole) == (502, True)
+
+
+UNCLEAN = {
+    # bytes of the request's body, what follows the answer
+    "reset": (5, "reset"),
+    "reset in the upload": (UPLOAD_BYTES, "reset"),
+    "close in the upload": (UPLOAD_BYTES, "close"),
+    "half a close in the upload": (UPLOAD_BYTES, "half-close"),
+    "half a close, then a reset, in the upload": (UPLOAD_BYTES, "half-close, reset"),
+}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("size,ending", UNCLEAN.values(), ids=UNCLEAN)
+async def test_an_answer_without_length_needs_a_clean_end_to_be_whole(
+    size, ending, kind
+):
+    """A part of it was passed on as whole, if it had begun while the call was sent."""
+    answer = b"HTTP/1.1 200 OK\r\n" + NAMES + b"\r\n" + EVENT
+    first, _ = await ask_raw(kind, answer, ending, body=size * b"x")
+    if kind == "stream":
+        assert (first.status, first.whole) == (200, False)
+    else:
+        assert (first.status, first.whole) == (502, True)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("ending", ["close", "half-close"])
+async def test_an_answer_without_length_is_whole_after_a_clean_end(ending, kind):
+    answer = b"HTTP/1.1 200 OK\r\n" + NAMES + b"\r\n" + EVENT
+    first, _ = await ask_raw(kind, answer, ending)
+    assert (first.status, first.whole, first.body) == (200, True, EVENT)
