Write no body framing behind HEAD, 204 and 304

What callers saw: the end of a chunked body behind the head of a 204, or of an answer to HEAD, on a stream's route, where the next answer on the connection is due.

Cause: Exchange framed each stream in chunks, whatever its status and method.

Change: such responses end with their head and have no framing headers.

--- a/knapweedhinge/http1/exchange.py
+++ b/knapweedhinge/http1/exchange.py
@@ -7,6 +7,7 @@
     from knapweedhinge.http1.connection import Connection
     from knapweedhinge.http1.reader import RequestReader
 
+NO_BODY = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -23,6 +24,7 @@
     """
 
     __slots__ = (
+        "_bodiless",
         "_chunked",
         "_connection",
         "answered",
@@ -45,6 +47,7 @@
         size: int,
     ):
         self._connection = connection
+        self._bodiless = False
         self._chunked = False
         self.method = reader.method
         self.target = bytes(reader.target)
@@ -69,8 +72,10 @@
         if self._connection.disconnected:
             return
         head = self._head(status, headers)
-        head.append(b"Content-Length: %d\r\n\r\n" % len(body))
-        if self.method != "HEAD":
+        if self._bodiless:
+            head.append(b"\r\n")
+        else:
+            head.append(b"Content-Length: %d\r\n\r\n" % len(body))
             head.append(body)
         self._connection.write(b"".join(head))
         self._finish()
@@ -79,18 +84,18 @@
         """Write the head of a response of unknown length, and the first bytes."""
         if self._connection.disconnected:
             return
-        self._chunked = self.version != "1.0"
         head = self._head(status, headers)
+        self._chunked = self.version != "1.0" and not self._bodiless
         if self._chunked:
             head.append(b"Transfer-Encoding: chunked\r\n")
         head.append(b"\r\n")
-        if data:
+        if data and not self._bodiless:
             head.append(self._frame(data))
         self._connection.write(b"".join(head))
 
     def send(self, data: bytes) -> None:
         """Write a part of the response body."""
-        if data and not self._connection.disconnected:
+        if data and not self._bodiless and not self._connection.disconnected:
             self._connection.write(self._frame(data))
 
     def end(self) -> None:
@@ -111,11 +116,13 @@
         await self._connection.wait_writable()
 
     def _head(self, status: int, headers: Headers) -> list[bytes]:
-        """Return the head, and decide whether the connection is kept alive.
+        """Return the head, and decide whether there is a body and keep-alive.
 
         A server that stops still answers the complete requests that wait.
         """
         self.began = True
+        # Such a response ends with its head; other bytes would precede the next one.
+        self._bodiless = self.method == "HEAD" or status in NO_BODY
         server = self._connection.server
         stopping = server.draining or server.closed
         keep = self.keep_alive and (self._connection.has_waiting or not stopping)
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -161,6 +161,60 @@
     assert (first.status, first.whole) == (502, True)
 
 
+ALLOWED = [
+    # first line, status, whether a body follows the head
+    (b"HTTP/1.1 200 OK", 200, True),
+    (b"HTTP/1.0 200 OK", 200, True),
+    (b"HTTP/1.1 200", 200, True),
+    (b"HTTP/1.1 200 \xc3\xa9\ttext", 200, True),
+    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", 200, True),
+    (b"HTTP/1.1 226 IM Used", 226, True),
+    (b"HTTP/1.1 302 Found", 302, True),
+    (b"HTTP/1.1 418 Teapot", 418, True),
+    (b"HTTP/1.1 204 No Content", 204, False),
+    (b"HTTP/1.1 304 Not Modified", 304, False),
+]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("line,status,has_body", ALLOWED)
+async def test_a_status_without_a_body_leaves_no_bytes_on_the_connection(
+    line, status, has_body, kind
+):
+    """The end of a chunked body stood there behind a 204 of a stream's route."""
+    body = LENGTH + EVENT if has_body else b"\r\n"
+    first, second = await ask_raw(kind, line + b"\r\n" + NAMES + body)
+    assert (first.status, first.whole) == (status, True)
+    assert first.body == (EVENT if has_body else b"")
+    assert (second.status, second.body) == (200, b"plain-0 hello")
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_an_answer_to_head_leaves_no_bytes_on_the_connection(kind):
+    """The end of a chunked body stood there behind the head of a stream's route."""
+    answer = b"HTTP/1.1 200 OK\r\n" + NAMES + LENGTH
+
+    async def ask():
+        raw = RawReplica("raw-0", "engine" if kind == "stream" else "shop")
+        raw.answer = answer
+        routes = [route("chat", kind, attempts=1, timeoutMs=2000)]
+        async with World([raw], catalog(routes=routes)) as world:
+            port = world.node.caller_server.port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            data = chat(body=b"") if kind == "stream" else request("/chat/x", body=b"")
+            writer.write(data.replace(b"POST", b"HEAD", 1))
+            received = await reader.readuntil(b"\r\n\r\n")
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    received += await reader.read(1024)
+            writer.close()
+        return received
+
+    head, _, rest = (await ask()).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert rest == b""
+
+
 UNCLEAN = {
     # bytes of the request's body, what follows the answer
     "reset": (5, "reset"),
