Search unframed answers whose request wasn't read, and mend the search's transport

The transport has it now, and the search also draws calls of which the server leaves bytes unread; an unframed answer to such a call must be an error. The channel bears a transport without a socket, as elsewhere.

--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -420,10 +420,11 @@
         A response without length may have been cut then: a server that resets the
         connection may have ended its side before, and only the reset is missing yet.
         """
+        if self._transport.get_write_buffer_size():
+            return True
         sock = self._transport.get_extra_info("socket")
-        return (
-            self._transport.get_write_buffer_size() > 0
-            or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+        return sock is not None and (
+            sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
             or unacknowledged_bytes(sock) > 0
         )
 
--- a/tests/platform/test_channel_search.py
+++ b/tests/platform/test_channel_search.py
@@ -15,10 +15,14 @@
 
 
 class FakeTransport:
-    """Transport that only remembers whether it was closed."""
+    """Transport that remembers whether it was closed, and what it couldn't write."""
 
     def __init__(self):
         self.closing = False
+        self.unwritten = 0
+
+    def get_write_buffer_size(self) -> int:
+        return self.unwritten
 
     def get_extra_info(self, name):
         return None
@@ -46,6 +50,7 @@
     ``framing`` is "length", "chunks" or "close". ``before`` and ``after`` are numbers
     of other calls whose answers it sends too. ``kept`` is how much of its own answer
     is sent, from 0 to 1; then the connection ends, in an orderly way or by a reset.
+    ``unread`` is how many bytes of the call the server leaves unread.
     """
 
     framing: str
@@ -55,6 +60,7 @@
     kept: float
     reset: bool
     segment: int
+    unread: int
 
     def answer(self, number: int) -> bytes:
         head = b"HTTP/1.1 200 OK\r\nId: %d\r\n" % number
@@ -97,6 +103,7 @@
     kept=st.one_of(st.just(1.0), st.floats(0, 0.999)),
     reset=st.booleans(),
     segment=st.integers(1, 60),
+    unread=st.sampled_from([0, 0, 0, 5]),
 )
 
 
@@ -104,6 +111,7 @@
     """Send a call, feed what the server sends; return the body, None for an error."""
     wanted = b"%d" % number
     channel.send(b"GET / HTTP/1.1\r\n\r\n", lambda found: dict(found)[b"Id"] == wanted)
+    transport.unwritten = sent.unread
     data = sent.data(number)
     for start in range(0, len(data), sent.segment):
         if not transport.closing:
@@ -132,12 +140,13 @@
         channel.connection_made(transport)
         for number, sent in enumerate(all_sent):
             body = await call(channel, transport, number, sent)
-            whole = sent.kept == 1 and not (sent.framing == "close" and sent.reset)
+            unclean = sent.reset or sent.unread
+            whole = sent.kept == 1 and not (sent.framing == "close" and unclean)
             if whole:
                 assert body == sent.body
             elif body is not None:
                 # Nothing tells that an answer is cut which ends with its connection.
-                assert sent.framing == "close" and not sent.reset
+                assert sent.framing == "close" and not unclean
                 assert sent.body.startswith(body)
             usable = channel.finish()
             if sent.before or sent.after or sent.ends_connection:
