--- a/tests/endpoints/test_endless.py
+++ b/tests/endpoints/test_endless.py
@@ -11,6 +11,7 @@
 from knapweedhinge.conf.node import EndpointSettings
 from knapweedhinge.core.codes import RunState
 from knapweedhinge.core.exceptions import KnapweedhingeError
+from knapweedhinge.endpoints import EndpointResponse
 from knapweedhinge.endpoints.engine import EngineClient
 from knapweedhinge.endpoints.plain import PlainClient
 from knapweedhinge.endpoints.types import EngineCall, PlainCall
@@ -66,7 +67,7 @@
 async def test_an_endless_body_is_an_error_of_unknown_outcome(send):
     async with (
         endless_server() as (port, sent),
-        aiohttp.ClientSession() as session,
+        aiohttp.ClientSession(response_class=EndpointResponse) as session,
         asyncio.timeout(15),
     ):
         with pytest.raises(KnapweedhingeError) as failure:
