Take a service's unframed answer for cut if its connection was reset

What callers of the chat interface saw: a part of a plain service's answer as a whole one, if it had no length and the service reset the connection, also during a long upload.

Cause: the HTTP library takes any end of the connection for the end of such a body. Its protocol object holds the error of the reset meanwhile, so that it isn't lost before.

--- a/knapweedhinge/endpoints/plain.py
+++ b/knapweedhinge/endpoints/plain.py
@@ -74,6 +74,7 @@
                 if idempotent:
                     await raise_for_failure(resp, min_failure_status=MIN_SERVER_ERROR)
                 body = await read_body(resp)
+                resp.ensure_clean_end()
                 self._check_request_id(resp, call)
         except CONNECT_ERRORS as exc:
             raise unreachable_error(endpoint) from exc
--- a/tests/endpoints/test_malformed_answers.py
+++ b/tests/endpoints/test_malformed_answers.py
@@ -98,3 +98,29 @@
     head = b"%s\r\nContent-Length: %d\r\n\r\n" % (line, len(COMPLETION))
     with pytest.raises(EndpointError):
         await answered(send, head + COMPLETION)
+
+
+UNCLEAN = {
+    # bytes of the request's body that the endpoint doesn't read, how it ends
+    "reset": ({}, "reset"),
+    "reset in the upload": ({"body": UPLOAD_BYTES * b"x"}, "reset"),
+    "close in the upload": ({"body": UPLOAD_BYTES * b"x"}, "close"),
+    "half a close in the upload": ({"body": UPLOAD_BYTES * b"x"}, "half-close"),
+    "both in the upload": ({"body": UPLOAD_BYTES * b"x"}, "half-close, reset"),
+}
+
+
+@pytest.mark.parametrize("send", [call_plain, call_once])
+@pytest.mark.parametrize("fields,ending", UNCLEAN.values(), ids=UNCLEAN)
+async def test_an_answer_without_length_needs_a_clean_end_to_be_whole(
+    fields, ending, send
+):
+    """A part of it was passed on as whole."""
+    with pytest.raises(EndpointError):
+        await answered(send, b"HTTP/1.1 200 OK\r\n\r\na part", ending, **fields)
+
+
+@pytest.mark.parametrize("send", [call_plain, call_once])
+@pytest.mark.parametrize("ending", ["close", "half-close"])
+async def test_an_answer_without_length_is_whole_after_a_clean_end(ending, send):
+    assert await answered(send, b"HTTP/1.1 200 OK\r\n\r\nall", ending) == b"all"
