Follow no redirect of an engine, and take only a 2xx for its success

What happened: a chat request whose engine answered 302 or 307 was sent to the address that the engine named; a 304 counted as a stream that begins.

Cause: the HTTP library follows redirects by default, and every status below 400 counted as a success.

Change: engine calls follow no redirect; a status outside 2xx is a failure.

--- a/knapweedhinge/endpoints/engine.py
+++ b/knapweedhinge/endpoints/engine.py
@@ -118,6 +118,7 @@
             f"{endpoint.url}/engine/streams/{attempt_id}",
             params={"after": str(after)},
             timeout=self._timeout(timeout_s),
+            allow_redirects=False,
         )
         return await self._open(endpoint, request)
 
@@ -182,6 +183,7 @@
             data=call.body,
             headers=headers,
             timeout=timeout,
+            allow_redirects=False,
         )
 
     async def _open(self, endpoint: EndpointView, request) -> aiohttp.ClientResponse:
@@ -270,7 +272,7 @@
 
 
 async def raise_for_failure(
-    resp: aiohttp.ClientResponse, min_failure_status: int = 400
+    resp: aiohttp.ClientResponse, min_failure_status: int = 300
 ) -> None:
     """Raise EndpointError for a status that says the call was refused or failed.
 
--- a/tests/endpoints/test_malformed_answers.py
+++ b/tests/endpoints/test_malformed_answers.py
@@ -100,6 +100,36 @@
         await answered(send, head + COMPLETION)
 
 
+@pytest.mark.parametrize("send", [complete, open_stream, resume_stream])
+@pytest.mark.parametrize("status", [302, 307, 304])
+async def test_an_engine_is_not_left_for_another_address(status, send):
+    """A redirect was followed: the request ran at an address that the engine chose."""
+    moved, followed = [], []
+
+    async def redirect(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        moved.append(writer)
+        place = b"Location: http://127.0.0.1:%d/x\r\n" % other
+        head = b"HTTP/1.1 %d Moved\r\nContent-Length: 0\r\n%s\r\n"
+        writer.write(head % (status, place))
+
+    async def follow(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        followed.append(writer)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(COMPLETION)
+        writer.write(head + COMPLETION)
+
+    async with (
+        serving(follow) as other,
+        serving(redirect) as port,
+        aiohttp.ClientSession(response_class=EndpointResponse) as session,
+    ):
+        endpoint = EndpointView("e", f"http://127.0.0.1:{port}", "a", "r")
+        with pytest.raises(EndpointError):
+            await send(endpoint, session)
+    assert moved and not followed
+
+
 UNCLEAN = {
     # bytes of the request's body that the endpoint doesn't read, how it ends
     "reset": ({}, "reset"),
