--- a/knapweedhinge/platform/eras.py
+++ b/knapweedhinge/platform/eras.py
@@ -43,8 +43,8 @@
 class Eras:
     """The newest era of the store that this node knows.
 
-    ``current`` is 0 until an answer names an era, and stays so at a store that names
-    none. ``returns`` counts the rises after that. ``first_numbers`` holds, by era, the
+    ``current`` is 0 at a store that names no era. ``returns`` counts its rises since
+    the first answer. ``first_numbers`` holds, by era, the
     store's version in the first answer of that era that this node got: rows with higher
     numbers were written in it. ``changes`` emits pairs of the era before and after,
     also when an era is refuted.
@@ -55,6 +55,7 @@
         self.returns = 0
         self.changes: Subject = Subject()
         self.first_numbers: dict[int, int] = {}
+        self._answered = False
         self._learnt_at = float("-inf")
         self._refuting = 0
         self._logged_at = float("-inf")
@@ -67,11 +68,12 @@
         in seconds on the same clock as ``now``.
         """
         era = self._parse(headers, now)
+        first, self._answered = not self._answered, True
         if era is None or era == self.current:
             self._refuting = 0
             return self.current
         if era > self.current:
-            self._change(era, now)
+            self._change(era, now, first=first)
         elif began_at > self._learnt_at:
             self._refuting += 1
             if self._refuting >= REFUTING_ANSWERS:
@@ -83,11 +85,11 @@
 
         The store's own answers refute it if it is wrong.
         """
-        if era > self.current + MAX_HEARD_RISE and self.current:
+        if era > self.current + MAX_HEARD_RISE and self._answered:
             self._log(now, f"era {era} of a peer is far above {self.current}")
             return False
         if era > self.current:
-            self._change(era, now)
+            self._change(era, now, first=not self._answered)
         return True
 
     @property
@@ -104,11 +106,11 @@
         first = self.first_numbers.get(version.era)
         return first is not None and version.number > first
 
-    def _change(self, era: int, now: float) -> None:
+    def _change(self, era: int, now: float, *, first: bool = False) -> None:
         before, self.current = self.current, era
         self._learnt_at, self._refuting = now, 0
-        if not before:
-            return  # the first era that is named
+        if first:
+            return
         self.first_numbers = {
             known: number
             for known, number in self.first_numbers.items()
--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -54,6 +54,9 @@
 # if there are many nodes, so that all of them together make no more requests a second.
 IDLE_POLL_INTERVAL_S = 30.0
 MAX_IDLE_POLLS_PER_S = 0.5  # of one table, by all nodes
+# Whole reads of one table a second, by all nodes that a reader tells of rows of an era
+# of which they have none: a reader that started after the return has sent them none.
+MAX_ERA_READS_PER_S = 20.0
 IDLE_CHECK_INTERVAL_S = 0.2  # how often such a node checks whether it must read
 # Tables that the nodes write. A node sends the rows it writes to its peers itself, so
 # that nobody long-polls these tables.
@@ -284,8 +287,13 @@
         for table, version in reader_status.versions().items():
             if not self._store.eras.heard(version.era, now):
                 continue
-            if version <= self.mirror.newest_version(table):
+            newest = self.mirror.newest_version(table)
+            if version <= newest:
                 self._behind_since.pop(table, None)
+            elif newest.is_of_era_before(version):
+                spread_s = self._nodes() / MAX_ERA_READS_PER_S
+                wait_s = self._rng.uniform(0.0, spread_s)
+                self._behind_since.setdefault(table, now + wait_s)
             else:
                 self._behind_since.setdefault(table, now)
 
@@ -313,6 +321,8 @@
         while True:
             try:
                 if table not in self._read_versions:
+                    if self._may_wait_for_reader(table):
+                        await self._wait_until_due(table)
                     await self.load(table)
                 await self._poll_when_due(table)
                 failures = 0
@@ -329,6 +339,13 @@
                 logger.bind(table=table).opt(exception=exc).error("feed failed")
                 await self._back_off(table, failures)
 
+    def _may_wait_for_reader(self, table: str) -> bool:
+        """Return whether a reader tells this node what a return of the store changed.
+
+        All nodes would read all tables at once.
+        """
+        return self.must_reread(table) and not self._must_read(self._clock())
+
     def _forget_version(self, table: str) -> None:
         version = self._read_versions.pop(table, None)
         if version is not None:
--- a/knapweedhinge/platform/store.py
+++ b/knapweedhinge/platform/store.py
@@ -243,6 +243,8 @@
                         "store: a conflict whose answer lacks the row"
                     ) from exc
                 return stored
+            except EraChangedError:
+                raise
             except PlatformError as exc:
                 logger.bind(table=table, key=key, attempt=attempt).info(
                     f"conditional write not confirmed: {exc}"
--- a/tests/platform/test_returns.py
+++ b/tests/platform/test_returns.py
@@ -1,16 +1,29 @@
 """A store that comes back from a copy that is some seconds old."""
 
 import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import msgspec
 import pytest
 
-from knapweedhinge.platform import wire
-from knapweedhinge.platform.eras import ABSENT, Version
-from knapweedhinge.platform.store import EraChangedError, Put
+from knapweedhinge.conf import ListenSettings
+from knapweedhinge.node.relay import RelayNode
+from knapweedhinge.platform import mirror, wire
+from knapweedhinge.platform.eras import ABSENT, MAX_HEARD_RISE, Eras, Version
+from knapweedhinge.platform.feeds import (
+    LONG_POLL_S,
+    STARTING_S,
+    ReaderStatus,
+    RowChange,
+)
+from knapweedhinge.platform.gossip import pack, unpack
+from knapweedhinge.platform.mirror import Mirror
+from knapweedhinge.platform.store import EraChangedError, Put, Row
 from knapweedhinge.routing.releases import Stage
 from knapweedhinge.test.replica import Replica
 from tests.platform.world import World, catalog, request, route, two_nodes
+from tests.processes import free_port
 
 CONFIG_S = 2.0  # the users' bound for a configuration to be in force
 GONE_S = 2.3  # time after its departure in which an endpoint gets no more calls
@@ -293,3 +306,193 @@
             await world.until(lambda: revisions(again) == [wanted], 4.0)
         finally:
             await again.close()
+
+
+DOMAINS = {
+    # whether the domain was out when the copy was taken, and when the store returned
+    "put out since": (False, True),
+    "put back since": (True, False),
+}
+
+
+@pytest.mark.parametrize("copied,now", DOMAINS.values(), ids=DOMAINS)
+async def test_a_failure_domain_does_not_change_with_the_copy(copied, now):
+    """A domain that operators had emptied got calls again."""
+    name = "evacuate/a"
+    async with two_nodes(shops()) as (world, other):
+        nodes = (world.node, other)
+
+        def out() -> list[bool]:
+            return ["a" in node.fleet.view.domains_out for node in nodes]
+
+        world.store.put("op", name, b"{}" if copied else None)
+        await world.until(lambda: out() == [copied, copied])
+        taken = world.store.copy()
+        fill(world)
+        world.store.put("op", name, b"{}" if now else None)
+        await world.until(lambda: out() == [now, now])
+        await returned(world, *nodes, taken=taken)
+        seen = []
+        for _ in range(20):
+            await asyncio.sleep(0.05)
+            seen.append(out())
+        assert seen == 20 * [[now, now]]
+        # Operators write it again, and it counts at once.
+        world.store.put("op", name, None if now else b"{}")
+        if not now:
+            await world.until(lambda: out() == [True, True], CONFIG_S)
+
+
+async def test_operators_rows_count_as_stored_when_the_grace_is_over(monkeypatch):
+    """A row that operators don't write again must not stay in force for good."""
+    monkeypatch.setattr(mirror, "OPERATOR_GRACE_S", 1.0)
+    async with two_nodes(shops()) as (world, other):
+        nodes = (world.node, other)
+        taken = world.store.copy()
+        fill(world)
+        world.store.put("op", "evacuate/a", b"{}")
+        await world.until(lambda: all("a" in n.fleet.view.domains_out for n in nodes))
+        await returned(world, *nodes, taken=taken)
+        await world.until(
+            lambda: not any("a" in n.fleet.view.domains_out for n in nodes), 4.0
+        )
+
+
+async def test_what_nodes_keep_in_the_store_is_written_again():
+    """Crash records, the roster and the peers' key were lost with the copy."""
+    replicas = [Replica(f"shop-{n}", "shop") for n in range(6)]
+    for replica in replicas:
+        replica.faults.crash_body = b"fatal"
+    async with two_nodes(replicas) as (world, other):
+        store = world.store
+        taken = type(store.copy())(
+            store.version,
+            {name: row for name, row in store.rows.items() if name[0] == "op"},
+            [],
+        )
+        fill(world)
+        for number in range(3):
+            data = request("/pay/x", body=b"fatal", request_id=f"f{number}")
+            await world.ask(data)
+
+        def kept() -> set[tuple[str, str]]:
+            return {name for name in store.rows if name[0] in ("secrets", "roster")}
+
+        await world.until(lambda: sum("crash/" in key for _, key in kept()) >= 2, 6.0)
+        before, key = kept(), store.get("secrets", "peers")
+        store.return_from(taken)
+        assert kept() == set()
+        await world.until(lambda: kept() >= before, 8.0)
+        assert store.get("secrets", "peers") == key
+
+
+@pytest.mark.parametrize("nodes", [2, 8])
+async def test_few_nodes_read_the_tables_after_a_return(nodes):
+    """All nodes would read all tables at once."""
+    async with AsyncExitStack() as stack:
+        world = await stack.enter_async_context(
+            World(
+                shops(),
+                catalog(),
+                listen=ListenSettings("vm-1", "127.0.0.1", 0, "a", "here", free_port()),
+            )
+        )
+        started = [world.node]
+        for number in range(2, nodes + 1):
+            listen = ListenSettings(
+                f"vm-{number}", "127.0.0.1", 0, "a", "here", free_port()
+            )
+            node = RelayNode(replace(world.settings(), listen=listen))
+            stack.push_async_callback(node.close)
+            await node.start()
+            started.append(node)
+        await world.until(
+            lambda: all(len(node.peers.members) == nodes for node in started), 10.0
+        )
+        await asyncio.sleep(STARTING_S + LONG_POLL_S)
+        taken = world.store.copy()
+        fill(world)
+        await settled(world, *started)
+        world.store.calls.clear()
+        await returned(world, started[0], taken=taken)
+        world.change(routes=[route("new", "safe")])
+        wanted = world.catalog["version"]
+        await world.until(lambda: set(revisions(*started)) == {wanted}, CONFIG_S)
+        reads = world.store.calls.count("/knapweedhinge/rows-get")
+    # The reader reads two tables; the owner of audits reads the roster.
+    assert reads <= 4
+
+
+OLD_ROWS = [
+    # a row as nodes send it that know no eras, whether it counts beside version 5
+    (["op", "config", 9, b"{}"], True),
+    (["op", "config", 4, b"{}", False, False], False),
+]
+
+
+@pytest.mark.parametrize("body,counts", OLD_ROWS)
+def test_rows_of_nodes_that_know_no_eras_are_of_era_0(body, counts):
+    change = unpack(msgspec.msgpack.encode(body))
+    held = Mirror()
+    held.apply("op", Row("config", Version(0, 5), b"x"), is_new=False, now=0.0)
+    applied = held.apply("op", change.row, is_new=change.is_new, now=1.0)
+    assert applied is counts
+
+
+def test_a_node_that_knows_no_eras_reads_rows_that_name_one():
+    """It skips the fields that it doesn't know."""
+    row = Row("config", Version(7, 5), b"{}")
+    packed = pack(RowChange("op", row, is_new=True))
+    assert msgspec.msgpack.decode(packed)[:6] == [
+        "op",
+        "config",
+        5,
+        b"{}",
+        False,
+        False,
+    ]
+    status = ReaderStatus(0, True, {"op": 5}, {"op": 7})
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(status))[:3] == [
+        0,
+        True,
+        {"op": 5},
+    ]
+
+
+ANSWERS = [
+    # (era in an answer, when its request began) in turn from 1 s, era at the end
+    ([(3, 0.0), (4, 1.0)], 4),
+    ([(3, 0.0), (5, 1.0), (4, 1.0)], 5),
+    ([(3, 0.0), (5, 1.0), (4, 1.5), (4, 1.6)], 5),
+    ([(3, 0.0), (900, 1.0), (3, 9.0), (3, 9.1), (3, 9.2)], 3),
+    ([(3, 0.0), (900, 1.0), (3, 9.0), (900, 9.1), (3, 9.2), (3, 9.3)], 900),
+]
+
+
+@pytest.mark.parametrize("answers,expected", ANSWERS)
+def test_an_era_falls_only_if_the_store_refutes_it(answers, expected):
+    eras = Eras()
+    for number, (era, began_at) in enumerate(answers):
+        eras.answered([b"%d" % era], began_at, 1.0 + number / 10)
+    assert eras.current == expected
+
+
+HEARD = [
+    # own era, era of a peer, whether it is believed
+    (3, 3, True),
+    (3, 4, True),
+    (3, 2, True),
+    (3, 3 + MAX_HEARD_RISE, True),
+    (3, 4 + MAX_HEARD_RISE, False),
+    (3, 10**15, False),
+    (0, MAX_HEARD_RISE, True),
+    (0, 10**6, False),
+]
+
+
+@pytest.mark.parametrize("own,heard,believed", HEARD)
+def test_a_peer_cannot_raise_the_era_without_measure(own, heard, believed):
+    eras = Eras()
+    eras.answered([b"%d" % own] if own else [], 0.0, 1.0)
+    assert eras.heard(heard, 2.0) is believed
+    assert eras.current == (max(own, heard) if believed else own)
