Take an error that names neither endpoint nor call for a broken answer

What callers saw: a 404 without any name, from a server that listened at the old address of an endpoint; they can't tell it from the node's own and don't repeat it.

Cause: a success has to name endpoint and call, an error had to name nothing, since refusals may lack an id.

Change: an answer that isn't a refusal has to name the endpoint or the call.

Evidence: 9 of 15 rows failed before and pass.

--- a/knapweedhinge/platform/headers.py
+++ b/knapweedhinge/platform/headers.py
@@ -193,7 +193,8 @@
     def decode(self, head: ResponseHead) -> AnswerHead:
         """Convert the head of an endpoint's answer.
 
-        A success without both the endpoint's stamp and the request id is invalid. A
+        A success without both the endpoint's stamp and the request id is invalid, and so
+        is another answer without either: something else may listen at the address. A
         failure whose status promises that the call has not run is unproven unless it
         says so in a header as well.
         """
@@ -229,6 +230,8 @@
             verdict = HeadVerdict.INVALID
         elif head.status in NOT_RUN_STATUSES:
             verdict = HeadVerdict.UNPROVEN
+        elif not (stamped or echoed):
+            verdict = HeadVerdict.INVALID
         return AnswerHead(
             head.status,
             tuple(passed),
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -245,3 +245,25 @@
     answer = b"HTTP/1.1 200 OK\r\n" + NAMES + b"\r\n" + EVENT
     first, _ = await ask_raw(kind, answer, ending)
     assert (first.status, first.whole, first.body) == (200, True, EVENT)
+
+
+NAMELESS = {
+    # headers, status, what the caller gets: the endpoint's status or a 502
+    "nothing": (b"", 404, 502),
+    "nothing, a redirect": (b"", 302, 502),
+    "nothing, a server error": (b"", 500, 502),
+    "the call": (b"Knapweedhinge-Request-Id: r1\r\n", 404, 404),
+    "the endpoint": (b"Knapweedhinge-Replica-Stamp: s\r\n", 404, 404),
+}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("names,status,expected", NAMELESS.values(), ids=NAMELESS)
+async def test_an_answer_that_names_neither_endpoint_nor_call_is_none(
+    names, status, expected, kind
+):
+    """A 404 of what listened at an endpoint's old address went to the caller."""
+    answer = b"HTTP/1.1 %d Any\r\n%s%s%s" % (status, names, LENGTH, EVENT)
+    first, _ = await ask_raw(kind, answer, "close")
+    assert (first.status, first.whole) == (expected, True)
+    assert (first.body == EVENT) is (expected == status)
