--- a/knapweedhinge/platform/headers.py
+++ b/knapweedhinge/platform/headers.py
@@ -193,9 +193,9 @@
     def decode(self, head: ResponseHead) -> AnswerHead:
         """Convert the head of an endpoint's answer.
 
-        A success without both the endpoint's stamp and the request id is invalid, and so
-        is another answer without either: something else may listen at the address. A
-        failure whose status promises that the call has not run is unproven unless it
+        A success without both the endpoint's stamp and the request id is invalid, and
+        so is another answer without either: something else may listen at the address.
+        A failure whose status promises that the call has not run is unproven unless it
         says so in a header as well.
         """
         passed, stamped, not_run, echoed = [], False, False, False
