--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -418,6 +418,7 @@
         now = self.clock()
         self.fleet.expire(now)
         self.feeds.settle(now)
+        self.fleet.era = self.store.eras.current
         if self.feeds.must_reread(wire.STATUS_TABLE) and any(
             self.peers.owns_release(service) for service in self.fleet.view.stages
         ):
@@ -476,7 +477,11 @@
             self._note_incarnation(event.record)
         if isinstance(event, ReleaseOrdered | ReleaseStaged):
             self._spawn(self.trials.report())
-        log = logger.bind(revision=self._revision(), store=self.store.available)
+        log = logger.bind(
+            revision=self._revision(),
+            store=self.store.available,
+            era=self.store.eras.current,
+        )
         if isinstance(event, CatalogSeen):
             log.info("catalog in force")
         else:
--- a/tests/platform/test_returns.py
+++ b/tests/platform/test_returns.py
@@ -35,9 +35,12 @@
 
 
 def fill(world: World) -> None:
-    """Write rows that a copy taken before lacks."""
+    """Write rows that a copy taken before lacks, the catalog and endpoints last."""
     for number in range(FILLER_ROWS):
         world.store.put("op", f"filler/{number}", b"{}")
+    for replica in world.replicas.values():
+        world.store.put("servers", replica.id, replica.record(seq=2))
+    world.change()
 
 
 async def settled(world: World, *nodes) -> None:
@@ -128,7 +131,7 @@
         fill(world)
         gone, draining = replicas[0], replicas[1]
         world.store.put("servers", gone.id, None)
-        row = draining.record(state="draining", seq=2)
+        row = draining.record(state="draining", seq=3)
         world.store.put("servers", draining.id, row)
         left = {"shop-2", "shop-3"}
         await world.until(lambda: known(world.node) == known(other) == left)
