--- a/knapweedhinge/http1/channel.py
+++ b/knapweedhinge/http1/channel.py
@@ -120,9 +120,8 @@
         self._complete = False
         self._until_close = False
         self._head_only = False
-        self._protocol = (
-            b""  # first bytes of the first response, CRLF before it left out
-        )
+        # First bytes of the first response to a request, without CRLF before it.
+        self._protocol = b""
         self._unexpected_data = False  # not part of the awaited response
         self.reusable = True
         self.idle_since = 0.0
@@ -343,10 +342,8 @@
         """Store the head, or start to skip a response to another request."""
         if self._complete:
             return
-        status, version = (
-            self._parser.get_status_code(),
-            self._parser.get_http_version(),
-        )
+        status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
         if (
             version not in HTTP_VERSIONS
             or not MIN_STATUS <= status <= MAX_STATUS
@@ -354,11 +351,11 @@
         ):
             raise AnswerBrokenError(f"status {status:03} of HTTP/{version}")
         codings = [
-            value
+            value.strip().lower()
             for name, value in self._headers
             if name.lower() == b"transfer-encoding"
         ]
-        if codings and (version == "1.0" or codings[0].strip().lower() != b"chunked"):
+        if codings and (version == "1.0" or codings != [b"chunked"]):
             raise AnswerBrokenError(f"transfer coding {codings[0][:40]!r}")
         self._interim = 100 <= status < 200
         if self._interim:
@@ -407,7 +404,7 @@
         self._wake()
 
     def _check_protocol(self, data: bytes) -> None:
-        """Raise AnswerBrokenError if the response begins like one of no HTTP server."""
+        """Raise AnswerBrokenError if the response is one of another protocol."""
         if len(self._protocol) < len(PROTOCOL):
             begin = (self._protocol + data[:MAX_HEADER_BYTES]).lstrip(b"\r\n")
             self._protocol = begin[: len(PROTOCOL)]
--- a/knapweedhinge/platform/eras.py
+++ b/knapweedhinge/platform/eras.py
@@ -44,10 +44,9 @@
     """The newest era of the store that this node knows.
 
     ``current`` is 0 at a store that names no era. ``returns`` counts its rises since
-    the first answer. ``first_numbers`` holds, by era, the
-    store's version in the first answer of that era that this node got: rows with higher
-    numbers were written in it. ``changes`` emits pairs of the era before and after,
-    also when an era is refuted.
+    the first answer. ``first_numbers`` holds, by era, the store's version in the first
+    answer of that era that this node got: rows with higher numbers were written in it.
+    ``changes`` emits pairs of the era before and after, also when an era is refuted.
     """
 
     def __init__(self):
--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -249,14 +249,14 @@
         return read is not None and read.is_of_era_before(self._store.eras.newest)
 
     def _note_era(self, eras: tuple[int, int]) -> None:
-        before, after = eras
-        if after < before:
-            self.mirror.drop_after(after)
-            self._read_versions = {
-                table: version
-                for table, version in self._read_versions.items()
-                if version.era <= after
-            }
+        """Drop what was learnt of an era that the store has refuted."""
+        newest = self._store.eras.newest
+        self.mirror.drop_after(newest)
+        self._read_versions = {
+            table: version
+            for table, version in self._read_versions.items()
+            if not newest.is_of_era_before(version)
+        }
 
     def _apply_read(self, change: RowChange, *, publish: bool) -> bool:
         """Apply a row that was read; an error doesn't keep back the rows after it.
--- a/knapweedhinge/platform/mirror.py
+++ b/knapweedhinge/platform/mirror.py
@@ -122,14 +122,15 @@
             settled.append((table, held.current))
         return settled
 
-    def drop_after(self, era: int) -> None:
-        """Forget the rows of later eras, which the store has refuted."""
+    def drop_after(self, newest: Version) -> None:
+        """Forget the rows of eras after ``newest``, which the store has refuted."""
         for name, held in list(self._held.items()):
-            if held.current.version.era > era:
+            if newest.is_of_era_before(held.current.version):
                 del self._held[name]
         for versions in (self._newest_versions, self._read_versions):
-            for table in [t for t, version in versions.items() if version.era > era]:
-                del versions[table]
+            for table, version in list(versions.items()):
+                if newest.is_of_era_before(version):
+                    del versions[table]
 
     def _note_newest(self, table: str, row: Row) -> None:
         self._newest_versions[table] = max(self.newest_version(table), row.version)
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -145,6 +145,7 @@
     (b"1.1", b"chunked, chunked"),
     (b"1.1", b"chunked, gzip"),
     (b"1.1", b"identity"),
+    (b"1.1", b"chunked\r\nTransfer-Encoding: chunked"),
 ]
 
 
