Signal a starved process through a pidfd, so that its exit status is kept

Cause: the test, not the node. child.send_signal() polls first (subprocess.Popen), so a signal sent between the process's end and the watcher's waitpid() takes the exit status, and asyncio reports 255 for a child that it doesn't know. No code of the project exits with 255. Ruled out: the node's late end, which is status 0 as well and leaves a log line.

The check of the exit status is as it was.

--- a/tests/platform/test_stop_in_time.py
+++ b/tests/platform/test_stop_in_time.py
@@ -22,6 +22,7 @@
 GRACE_S = 3.0
 SLICE_S = 0.1  # a process that is short of processor time runs for a part of each
 RUNNING_SHARE = 0.25
+STARVED_PROCESSES = 20
 OPEN_STREAMS = 60
 UNREAD_CALLERS = 20
 BIG = b"x" * 60_000
@@ -58,13 +59,22 @@
 
 
 async def starve(child) -> None:
-    """Let a process run for a part of the time only, until it has ended."""
-    with suppress(ProcessLookupError):
+    """Let a process run for a part of the time only, until it has ended.
+
+    ``child.send_signal()`` would first poll, and so take the exit status that asyncio's
+    watcher waits for; asyncio then reports the status 255.
+    """
+    pidfd = os.pidfd_open(child.pid)
+    try:
         while child.returncode is None:
-            child.send_signal(signal.SIGSTOP)
+            signal.pidfd_send_signal(pidfd, signal.SIGSTOP)
             await asyncio.sleep(SLICE_S * (1 - RUNNING_SHARE))
-            child.send_signal(signal.SIGCONT)
+            signal.pidfd_send_signal(pidfd, signal.SIGCONT)
             await asyncio.sleep(SLICE_S * RUNNING_SHARE)
+    except ProcessLookupError:
+        return
+    finally:
+        os.close(pidfd)
 
 
 async def ask_unread(port: int, data: bytes) -> asyncio.StreamWriter:
@@ -97,6 +107,17 @@
     )
 
 
+async def test_a_starved_process_keeps_its_exit_status(monkeypatch):
+    """A process that ended with status 0 while it was starved was reported with 255."""
+    monkeypatch.setattr(sys.modules[__name__], "SLICE_S", 0.0)
+    ended = "import os, time; time.sleep(0.02); os._exit(0)"
+    for _ in range(STARVED_PROCESSES):
+        child = await asyncio.create_subprocess_exec(sys.executable, "-S", "-c", ended)
+        starving = asyncio.create_task(starve(child))
+        assert await child.wait() == 0
+        await starving
+
+
 STOPS = {
     # what falls silent at the SIGTERM, whether processor time is short
     "all well": ("", False),
