--- a/knapweedhinge/controllers/crashrecords.py
+++ b/knapweedhinge/controllers/crashrecords.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 import xxhash
@@ -77,7 +78,7 @@
     """A record in the store; ``crash`` is None once it was deleted."""
 
     crash: Crash | None
-    version: int
+    version: Any
     written_at: float
 
 
@@ -85,21 +86,24 @@
 class RecordChange:
     """A record to write, or to delete if ``crash`` is None.
 
-    ``version`` is that of the stored row, 0 if there is none.
+    ``version`` is that of the stored row, the one of an absent row if there is none,
+    None if it isn't known.
     """
 
     crash_id: str
     crash: Crash | None
-    version: int
+    version: Any
 
 
 class CrashRecords:
     """The records that this node has in the store, and what has to change in them.
 
-    Times are in seconds on the node's monotonic clock.
+    Times are in seconds on the node's monotonic clock. Versions are the store's;
+    ``absent`` is that of a row that doesn't exist.
     """
 
-    def __init__(self):
+    def __init__(self, absent: Any = 0):
+        self._absent = absent
         self._stored: dict[str, _Stored] = {}
 
     def __contains__(self, crash_id: str) -> bool:
@@ -112,14 +116,22 @@
         return tuple(crash_id for crash_id in self._stored if crash_id in self)
 
     def note(
-        self, crash_id: str, crash: Crash | None, version: int, now: float
+        self, crash_id: str, crash: Crash | None, version: Any, now: float
     ) -> None:
         """Note what the store holds: the row's content and version."""
-        if crash is None and not version:
+        if crash is None and version == self._absent:
             self._stored.pop(crash_id, None)
         else:
             self._stored[crash_id] = _Stored(crash, version, now)
 
+    def forget_stored(self) -> None:
+        """Note that the store may have lost or changed each record.
+
+        Those that still count are due again, whatever the store holds of them.
+        """
+        unknown = _Stored(None, None, float("-inf"))
+        self._stored = dict.fromkeys(self.crash_ids, unknown)
+
     def due(
         self, crash_ids: Iterable[str], open_crashes: dict[str, Crash], now: float
     ) -> tuple[RecordChange, ...]:
@@ -133,7 +145,7 @@
             wanted, known = open_crashes.get(crash_id), self._stored.get(crash_id)
             if known is None and wanted is None:
                 continue
-            known = known or _Stored(None, 0, float("-inf"))
+            known = known or _Stored(None, self._absent, float("-inf"))
             rested = now - known.written_at >= TRIM_INTERVAL_S
             if _adds(wanted, known.crash) or (wanted != known.crash and rested):
                 changes.append(RecordChange(crash_id, wanted, known.version))
--- a/knapweedhinge/controllers/fleet.py
+++ b/knapweedhinge/controllers/fleet.py
@@ -262,7 +262,8 @@
     ``changes`` emits each event that led to a new view. ``nodes`` is the number of
     proxy nodes among which the call rate of a cold endpoint is divided. ``rng`` draws
     the tokens with which this node starts for a cold endpoint. ``leaving`` says that
-    the node stops. ``now`` is in seconds on the node's monotonic clock.
+    the node stops, ``era`` is the store's, for log lines. ``now`` is in seconds on the
+    node's monotonic clock.
     """
 
     def __init__(self, rng: Random):
@@ -271,6 +272,7 @@
         self.changes: Subject = Subject()
         self.nodes = 1
         self.leaving = False
+        self.era = 0
         self._catalog_wait_over = asyncio.Event()
         self._cold: dict[str, ColdEndpoint] = {}
         self._lapsed: dict[str, float] = {}
--- a/knapweedhinge/controllers/release_controller.py
+++ b/knapweedhinge/controllers/release_controller.py
@@ -4,14 +4,14 @@
 as the owner, no harm results: a stage is written only if the previous one is unchanged.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Protocol
 
 from loguru import logger
 
 from knapweedhinge.conf.relay import Promises
-from knapweedhinge.controllers.fleet import FleetTracker
+from knapweedhinge.controllers.fleet import FleetTracker, ReleaseStaged
 from knapweedhinge.controllers.release_tracker import ReleaseTracker
 from knapweedhinge.core.exceptions import PlatformError
 from knapweedhinge.routing.releases import (
@@ -36,6 +36,9 @@
         Raises PlatformError if the store can't be reached.
         """
 
+    def lost(self, services: Iterable[str], now: float) -> tuple[ReleaseStaged, ...]:
+        """Return the stages that the store lost and that must be written again."""
+
 
 class ReleaseController:
     """Advance the roll-outs that this node owns, at each call of ``step``.
@@ -78,6 +81,7 @@
         ``now`` is the node's monotonic clock in seconds.
         """
         self._forget_ended()
+        await self._write_lost(now)
         for release in self.running():
             key = release.service, release.version
             if key not in self._calls_before:
@@ -86,6 +90,17 @@
             if self._is_owner(release.service):
                 await self._step(release, now)
 
+    async def _write_lost(self, now: float) -> None:
+        """Write the stages again that the store lost as it returned from a copy."""
+        for staged in self._records.lost(self._fleet.view.stages, now):
+            if self._is_owner(staged.service):
+                release = Release(
+                    staged.service, staged.version, 0.0, staged.stage, staged.began_at
+                )
+                await self._record(
+                    release, staged.stage, staged.began_at, "lost by the store"
+                )
+
     def _forget_ended(self) -> None:
         """Drop data of ended roll-outs, so that it can't affect a later one."""
         view = self._fleet.view
--- a/knapweedhinge/core/request_report.py
+++ b/knapweedhinge/core/request_report.py
@@ -87,7 +87,8 @@
     head = [
         f"request {fields['request_id']} at {fields.get('vm')}",
         f"  route {fields.get('route') or '-'}, organisation "
-        f"{fields.get('organisation') or '-'}, catalog {fields.get('revision')}",
+        f"{fields.get('organisation') or '-'}, catalog {fields.get('revision')}"
+        + (f" of era {fields['era']}" if "era" in fields else ""),
         f"  began {began.isoformat()}, took {fields.get('total_ms')} ms, first piece "
         f"after {_or_dash(fields.get('first_ms'))} ms, {fields.get('events')} events",
         f"  ended: {fields.get('outcome')} (code {fields.get('code')})",
--- a/knapweedhinge/node/crash_recorder.py
+++ b/knapweedhinge/node/crash_recorder.py
@@ -21,6 +21,7 @@
 from knapweedhinge.core.exceptions import PlatformError, RowConflictError
 from knapweedhinge.filters.relay import RelayContext
 from knapweedhinge.platform import wire
+from knapweedhinge.platform.eras import ABSENT
 from knapweedhinge.platform.store import Put, Row, Store
 
 SCAN_INTERVAL_S = 5.0  # between two looks at all records, for those to trim or delete
@@ -47,12 +48,13 @@
         self._vm = ctx.settings.listen.vm
         self._store = store
         self._keeps = keeps
-        self._records = CrashRecords()
+        self._records = CrashRecords(ABSENT)
         # Crashes with new evidence that is not recorded yet, and since when.
         self._changed: dict[str, float] = {}
         self._rows_of_others: dict[str, CrashRecord] = {}  # as read, by row key
         self._woken = asyncio.Event()
         ctx.quarantine.evidence_added.subscribe(self._note_evidence)
+        store.eras.changes.subscribe(self._note_era)
 
     def load(self, rows: Iterable[Row], now: float) -> None:
         """Take the records of all nodes from their rows of the store."""
@@ -126,6 +128,16 @@
     def _is_own(self, crash_id: str) -> bool:
         return crash_id in self._quarantine.own_crash_ids
 
+    def _note_era(self, eras: tuple[int, int]) -> None:
+        """Write this node's records again after a return of the store from a copy."""
+        kept = self._records.crash_ids
+        self._records.forget_stored()
+        for crash_id in kept:
+            self._changed.setdefault(crash_id, self._clock())
+        if kept:
+            logger.bind(records=len(kept)).info("crash records to be written again")
+            self._woken.set()
+
     def _note_evidence(self, crash_id: str) -> None:
         self._changed.setdefault(crash_id, self._clock())
         if self._keeps(crash_id) or crash_id in self._records:
@@ -153,7 +165,7 @@
                 self._records.note(
                     change.crash_id,
                     record and record.crash,
-                    row.version if row else 0,
+                    row.version if row else ABSENT,
                     now,
                 )
             raise
@@ -163,11 +175,11 @@
             logger.bind(crashes=[change.crash_id for change in changes]).warning(
                 f"crash records refused by the store: {exc}"
             )
-            version = 0
+            version = ABSENT
         for change in changes:
             deleted = change.crash is None
             self._records.note(
-                change.crash_id, change.crash, 0 if deleted else version, now
+                change.crash_id, change.crash, ABSENT if deleted else version, now
             )
 
     async def _delete_expired(self, now: float) -> None:
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -148,6 +148,7 @@
             nodes=lambda: self.fleet.nodes,
         )
         self.feeds.events.subscribe(self._apply_event)
+        self.store.eras.changes.subscribe(self._handle_era_change)
         promises = settings.promises
         self.releases = ReleaseTracker()
         self.release_controller = ReleaseController(
@@ -416,6 +417,12 @@
         """
         now = self.clock()
         self.fleet.expire(now)
+        self.feeds.settle(now)
+        self.fleet.era = self.store.eras.current
+        if self.feeds.must_reread(wire.STATUS_TABLE) and any(
+            self.peers.owns_release(service) for service in self.fleet.view.stages
+        ):
+            await self.feeds.load(wire.STATUS_TABLE)
         if self.release_controller.running():
             self.feeds.follow(wire.STATUS_TABLE)
         await self.release_controller.step(now)
@@ -470,12 +477,26 @@
             self._note_incarnation(event.record)
         if isinstance(event, ReleaseOrdered | ReleaseStaged):
             self._spawn(self.trials.report())
-        log = logger.bind(revision=self._revision(), store=self.store.available)
+        log = logger.bind(
+            revision=self._revision(),
+            store=self.store.available,
+            era=self.store.eras.current,
+        )
         if isinstance(event, CatalogSeen):
             log.info("catalog in force")
         else:
             log.bind(news=str(event)).info("fleet changed")
 
+    def _handle_era_change(self, eras: tuple[int, int]) -> None:
+        self.metrics.count("store_era_changes")
+        self._spawn(self._restore_peers())
+
+    async def _restore_peers(self) -> None:
+        try:
+            await self.peers.store_returned()
+        except PlatformError as exc:
+            logger.bind(code=exc.code.number).warning(f"peer key not restored: {exc}")
+
     def _note_incarnation(self, record: EndpointRecord) -> None:
         """Forget the health of an endpoint's earlier process when it has restarted."""
         known = self._incarnations.get(record.id)
@@ -561,7 +582,12 @@
             "releases": [str(view.release(service)) for service in view.orders],
             "members": [member.vm for member in self.peers.members],
             **self._dump_capacities(),
-            "store": {"calls": self.store.calls, "failures": self.store.failures},
+            "store": {
+                "calls": self.store.calls,
+                "failures": self.store.failures,
+                "era": self.store.eras.current,
+                "returns": self.store.eras.returns,
+            },
             "connections_opened": self.ctx.pools.opened,
             "callers": self.account.by_kind(),
             "engines": engines_dump(self.ctx, self.clock()),
--- a/knapweedhinge/node/relaypeers.py
+++ b/knapweedhinge/node/relaypeers.py
@@ -29,6 +29,7 @@
     WORK_SUMS,
 )
 from knapweedhinge.platform import wire
+from knapweedhinge.platform.eras import ABSENT
 from knapweedhinge.platform.feeds import Feeds, ReaderStatus
 from knapweedhinge.platform.gossip import RowGossip
 from knapweedhinge.platform.store import Row, Store
@@ -55,6 +56,7 @@
 READER_ROLE = "store-reader"
 AGGREGATOR_ROLE = "work-board"
 CRASH_RECORD_ROLE = "crash-record"
+PEER_KEY_ROLE = "peer-key"
 CRASH_RECORDS = 2  # nodes that keep a record of each crash in the store
 REPORT_METHOD = "work"  # peer method that sends a load report to the aggregator
 MAX_LOGGED_NAMES = 20  # nodes named in a log line about a membership change
@@ -143,6 +145,23 @@
         self._receive_members(peers.membership)
         logger.bind(members=len(self.members)).info("joined peers")
 
+    async def store_returned(self) -> None:
+        """Write again what the store may have lost of the peers' key and roster.
+
+        One node does so for each; none waits for it. Raise PlatformError if the key
+        can't be written.
+        """
+        if self._peers is None or self._key_row is None:
+            return
+        self._peers.table_returned()
+        owners = self._peers.assignments.owners(PEER_KEY_ROLE, wire.PEERS_KEY, 1)
+        if owners and owners[0].vm == self._vm:
+            stored = await self._store.compare_and_set(
+                wire.NODES_TABLE, wire.PEERS_KEY, self._key_row.value, ABSENT
+            )
+            if stored.value != self._key_row.value:
+                logger.error("the store has another peer key than this node")
+
     async def leave(self) -> None:
         """Announce to the peers that this node accepts no more calls.
 
@@ -226,7 +245,7 @@
                 if self._key_row is None:
                     proposed = secrets.token_hex(16).encode()
                     self._key_row = await self._store.compare_and_set(
-                        wire.NODES_TABLE, wire.PEERS_KEY, proposed, 0
+                        wire.NODES_TABLE, wire.PEERS_KEY, proposed, ABSENT
                     )
                 return self._key_row.value.decode()
             except PlatformError as exc:
--- a/knapweedhinge/peers/engine.py
+++ b/knapweedhinge/peers/engine.py
@@ -191,6 +191,10 @@
         await self.gossip.flush(LEAVE_FLUSH_TIMEOUT_S)
         await self._roster_maintenance.leave(self.membership.me)
 
+    def table_returned(self) -> None:
+        """Note that the roster's table came back from a copy that may lack rows."""
+        self._roster_maintenance.table_returned(self.clock())
+
     async def stop(self) -> None:
         """Leave the fleet, if not done yet, then stop all tasks and close all links."""
         await self.leave()
--- a/knapweedhinge/peers/roster_maintenance.py
+++ b/knapweedhinge/peers/roster_maintenance.py
@@ -23,6 +23,8 @@
 MAX_JOIN_RETRY_S = 5.0
 LEAVE_TIMEOUT_S = 2.0
 MIN_HEARD_FRACTION = 0.5  # of the members; below it a node deletes no rows
+RESTORE_DELAY_S = 2.0  # mean time from a return of the table to its audit
+MAX_RESTORED_ROWS = 200  # written again in one audit
 MAX_SWEEP_CANDIDATES = 4  # ended members looked at per tick
 
 
@@ -57,6 +59,7 @@
         self._apply_roster_records = apply_roster_records
         self._forget = forget
         self._busy = False
+        self._restore = False  # write rows again that the table lacks
         self._scan_at = 0.0
         self._audit_at = 0.0
         self._tasks = Tasks()
@@ -107,6 +110,14 @@
             if _is_owner(view.me, "", view.reachable(now)):
                 self._start(self._audit(view))
 
+    def table_returned(self, now: float) -> None:
+        """Audit the table soon, and write the rows of active members that it lost.
+
+        It came back from a copy. Only one node does this, the owner of audits.
+        """
+        self._restore = True
+        self._audit_at = now + RESTORE_DELAY_S * (0.5 + self._rng.random())
+
     async def stop(self) -> None:
         """Cancel the running task."""
         await self._tasks.stop()
@@ -157,7 +168,14 @@
 
     async def _audit(self, view: MembershipView) -> None:
         """Delete stale rows of the table and apply those of VMs that are not known."""
+        restore, self._restore = self._restore, False
         rows = await self._roster.rows()
+        if restore:
+            stored = {(row.vm, row.incarnation) for row in rows}
+            lost = [m for m in view.active if (m.vm, m.incarnation) not in stored]
+            for member in lost[:MAX_RESTORED_ROWS]:
+                await self._roster.insert(member)
+            logger.bind(rows=len(rows), lost=len(lost)).info("roster audited")
         stale = (row for row in rows if _is_stale(row, view))
         for row in stale:
             await self._roster.delete(row)
--- a/knapweedhinge/peers/service.py
+++ b/knapweedhinge/peers/service.py
@@ -90,6 +90,10 @@
         """
         await self._engine.leave()
 
+    def table_returned(self) -> None:
+        """Note that the roster's table came back from a copy that may lack rows."""
+        self._engine.table_returned()
+
     async def stop(self) -> None:
         """Leave the fleet, if not done yet, then stop all tasks and close all links."""
         await self._engine.stop()
--- a/knapweedhinge/platform/callers.py
+++ b/knapweedhinge/platform/callers.py
@@ -162,6 +162,7 @@
             **({} if trace.share is None else {"share": trace.share}),
             **({"second_ask": trace.second_ask} if trace.second_ask else {}),
             revision=view.catalog.revision if view.catalog else None,
+            **({"era": self._ctx.fleet.era} if self._ctx.fleet.era else {}),
         ).info("call ended")
 
 
--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -23,6 +23,8 @@
 )
 from knapweedhinge.core.exceptions import PlatformError
 from knapweedhinge.platform import wire
+from knapweedhinge.platform.eras import Version
+from knapweedhinge.platform.mirror import Mirror
 from knapweedhinge.platform.store import HistoryGoneError, Row, Store
 from knapweedhinge.routing.releases import Stage
 
@@ -52,6 +54,9 @@
 # if there are many nodes, so that all of them together make no more requests a second.
 IDLE_POLL_INTERVAL_S = 30.0
 MAX_IDLE_POLLS_PER_S = 0.5  # of one table, by all nodes
+# Whole reads of one table a second, by all nodes that a reader tells of rows of an era
+# of which they have none: a reader that started after the return has sent them none.
+MAX_ERA_READS_PER_S = 20.0
 IDLE_CHECK_INTERVAL_S = 0.2  # how often such a node checks whether it must read
 # Tables that the nodes write. A node sends the rows it writes to its peers itself, so
 # that nobody long-polls these tables.
@@ -60,6 +65,7 @@
 BACKOFF_BASE_S = 0.1
 MAX_BACKOFF_S = 0.8
 MAX_BACKOFF_WITH_READER_S = 3.0
+CATALOG_ROW = (wire.OPERATOR_TABLE, wire.CATALOG_KEY)
 # A record that disappears within this time after a failed request to the store may have
 # expired only because its endpoint could not renew it either.
 LAPSE_WINDOW_S = 3.0
@@ -70,66 +76,34 @@
     """A changed row of a table.
 
     ``lapsed`` marks a row that may be gone only because its owner could not renew it
-    while the store was unavailable.
+    while the store was unavailable. ``is_new`` marks one that was written in the era of
+    its version, so that it isn't only part of the copy that the store returned from.
     """
 
     table: str
     row: Row
     lapsed: bool = False
+    is_new: bool = False
 
 
 class ReaderStatus(msgspec.Struct, frozen=True, array_like=True):
     """Message to peers of a region: whether its node of this rank reads the store.
 
-    ``newest_versions`` holds the version of the newest row that it has, by table.
+    ``newest_versions`` holds the number of the version of the newest row that it has,
+    by table, and ``eras`` the era of that version, where that isn't 0.
     """
 
     rank: int
     reads: bool
     newest_versions: dict[str, int] = {}
+    eras: dict[str, int] = {}
 
-
-class Mirror:
-    """Local copy of the followed tables: the newest known version of each row."""
-
-    def __init__(self):
-        self._rows: dict[tuple[str, str], Row] = {}
-        self._newest_versions: dict[str, int] = {}
-
-    def apply(self, table: str, row: Row) -> bool:
-        """Store a row; return whether that changes anything.
-
-        False if the held row is as new or newer, or for deleting a row never seen.
-        """
-        held = self._rows.get((table, row.key))
-        if held is not None and held.version >= row.version:
-            return False
-        self._rows[table, row.key] = row
-        self._newest_versions[table] = max(self.newest_version(table), row.version)
-        return held is not None or row.value is not None
-
-    def newest_version(self, table: str) -> int:
-        """Return the version of the newest row held of a table, 0 without any."""
-        return self._newest_versions.get(table, 0)
-
-    def deletions_for(self, table: str, keys: set[str], version: int) -> list[Row]:
-        """Return deletions for the held rows that a read of the whole table lacks.
-
-        ``keys`` are the keys read, ``version`` is the table's version at that time;
-        newer rows stay.
-        """
-        return [
-            Row(row.key, version, None)
-            for (name, key), row in self._rows.items()
-            if name == table
-            and key not in keys
-            and row.value is not None
-            and row.version <= version
-        ]
-
-    def row(self, table: str, key: str) -> Row | None:
-        """Return the newest known version of a row, None if it was never seen."""
-        return self._rows.get((table, key))
+    def versions(self) -> dict[str, Version]:
+        """Return the version of the newest row, by table."""
+        return {
+            table: Version(self.eras.get(table, 0), number)
+            for table, number in self.newest_versions.items()
+        }
 
 
 class Feeds:
@@ -172,8 +146,11 @@
         self._loaded_tables: set[str] = set()
         # Version of each table up to which it was read from the store, without those
         # that must be read as a whole.
-        self._read_versions: dict[str, int] = {}
+        self._read_versions: dict[str, Version] = {}
+        # Those that they had, of tables that must be read as a whole.
+        self._lost_versions: dict[str, Version] = {}
         self._tasks: dict[str, asyncio.Task] = {}
+        store.eras.changes.subscribe(self._note_era)
 
     async def load(self, table: str) -> None:
         """Read a whole table into the mirror; raise PlatformError if that fails.
@@ -183,15 +160,35 @@
         lapsed = self._may_have_lapsed()
         self._requested_at[table] = self._clock()
         found = await self._store.read(table)
+        if found.version < self._read_versions.get(table, found.version):
+            logger.bind(table=table, version=found.version).info("stale read ignored")
+            return
         first = table not in self._loaded_tables
         self._loaded_tables.add(table)
         self._loaded_at = self._clock()
+        read_before = self._read_versions.get(table) or self._lost_versions.get(table)
+        returned = read_before is not None and read_before.is_of_era_before(
+            found.version
+        )
+        lapsed = lapsed or returned
+        self._lost_versions.pop(table, None)
         self._read_versions[table] = found.version
         gone = self.mirror.deletions_for(
             table, {row.key for row in found.rows}, found.version
         )
+        changed = 0
         for row in (*found.rows, *gone):
-            self._apply_read(RowChange(table, row, lapsed), publish=not first)
+            is_new = row.value is not None and self._store.eras.is_new(row.version)
+            change = RowChange(table, row, lapsed, is_new)
+            changed += self._apply_read(change, publish=not first)
+        if returned:
+            logger.bind(
+                table=table,
+                era=found.version.era,
+                rows=len(found.rows),
+                absent=len(gone),
+                changed=changed,
+            ).warning("table read after the store's return")
 
     def follow(self, table: str) -> None:
         """Start to follow a table; do nothing if it is followed already."""
@@ -204,33 +201,78 @@
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
-    def apply(self, change: RowChange, *, publish: bool) -> None:
+    def apply(self, change: RowChange, *, publish: bool) -> bool:
         """Store a row from the store or a peer and emit its event; ignore an old one.
 
-        Also send the row to peers if ``publish`` is set.
+        Also send the row to peers if ``publish`` is set. Return whether it changed
+        anything.
         """
-        if not self.mirror.apply(change.table, change.row):
-            return
+        row = change.row
+        if not self._store.eras.heard(row.version.era, self._clock()):
+            return False
+        is_catalog = (change.table, row.key) == CATALOG_ROW
+        held = self.mirror.row(change.table, row.key)
+        changed = self.mirror.apply(
+            change.table, row, is_new=change.is_new, now=self._clock()
+        )
+        if not changed and not (is_catalog and held is not None and held != row):
+            return False
+        # Catalogs are ordered by their own revisions, whatever era they come from.
         event = self._event(change)
         if event is not None:
             self.events.on_next(event)
-        if publish:
+        if publish and changed:
+            self.outgoing.on_next(change)
+        return changed
+
+    def settle(self, now: float) -> None:
+        """Apply the rows whose grace after a return of the store is over."""
+        for table, row in self.mirror.settle(now):
+            change = RowChange(table, row, is_new=True)
+            event = self._event(change)
+            if event is not None:
+                self.events.on_next(event)
             self.outgoing.on_next(change)
 
-    def _apply_read(self, change: RowChange, *, publish: bool) -> None:
+    def lost_stages(
+        self, services: Iterable[str], now: float
+    ) -> tuple[ReleaseStaged, ...]:
+        """Return the stages in force of which the store has an older one."""
+        keys = (wire.STAGE_PREFIX + service for service in services)
+        rows = (self.mirror.lost(wire.STATUS_TABLE, key, now) for key in keys)
+        events = (_stage_event(row) for row in rows if row is not None)
+        return tuple(event for event in events if event is not None)
+
+    def must_reread(self, table: str) -> bool:
+        """Return whether a table was last read before the store's latest return."""
+        read = self._lost_versions.get(table) or self._read_versions.get(table)
+        return read is not None and read.is_of_era_before(self._store.eras.newest)
+
+    def _note_era(self, eras: tuple[int, int]) -> None:
+        """Drop what was learnt of an era that the store has refuted."""
+        newest = self._store.eras.newest
+        self.mirror.drop_after(newest)
+        self._read_versions = {
+            table: version
+            for table, version in self._read_versions.items()
+            if not newest.is_of_era_before(version)
+        }
+
+    def _apply_read(self, change: RowChange, *, publish: bool) -> bool:
         """Apply a row that was read; an error doesn't keep back the rows after it.
 
         These wouldn't be read again, since the version read so far covers them.
         """
         try:
-            self.apply(change, publish=publish)
+            return self.apply(change, publish=publish)
         except Exception as exc:
             row = change.row
             logger.bind(table=change.table, key=row.key, version=row.version).opt(
                 exception=exc
             ).error("row not applied")
+            return False
 
-    def newest_versions(self) -> dict[str, int]:
+    def newest_versions(self) -> dict[str, Version]:
         """Return the version of the newest row held, by followed table."""
         return {
             table: self.mirror.newest_version(table) for table in self._read_versions
@@ -242,9 +284,16 @@
             self._reader_seen_at.pop(reader_status.rank, None)
             return
         self._reader_seen_at[reader_status.rank] = now
-        for table, version in reader_status.newest_versions.items():
-            if version <= self.mirror.newest_version(table):
+        for table, version in reader_status.versions().items():
+            if not self._store.eras.heard(version.era, now):
+                continue
+            newest = self.mirror.newest_version(table)
+            if version <= newest:
                 self._behind_since.pop(table, None)
+            elif newest.is_of_era_before(version):
+                spread_s = self._nodes() / MAX_ERA_READS_PER_S
+                wait_s = self._rng.uniform(0.0, spread_s)
+                self._behind_since.setdefault(table, now + wait_s)
             else:
                 self._behind_since.setdefault(table, now)
 
@@ -259,8 +308,12 @@
             return None
         polled_at = min(self._polled_at.values(), default=float("-inf"))
         in_time = now - polled_at <= LONG_POLL_S + LONG_POLL_GRACE_S
+        newest = self.newest_versions()
         return ReaderStatus(
-            rank, self._store.available and in_time, self.newest_versions()
+            rank,
+            self._store.available and in_time,
+            {table: version.number for table, version in newest.items()},
+            {table: version.era for table, version in newest.items() if version.era},
         )
 
     async def _follow(self, table: str) -> None:
@@ -268,12 +321,14 @@
         while True:
             try:
                 if table not in self._read_versions:
+                    if self._may_wait_for_reader(table):
+                        await self._wait_until_due(table)
                     await self.load(table)
                 await self._poll_when_due(table)
                 failures = 0
             except HistoryGoneError:
                 logger.bind(table=table).info("history gone, reading the whole table")
-                self._read_versions.pop(table, None)
+                self._forget_version(table)
             except PlatformError as exc:
                 failures += 1
                 logger.bind(table=table, code=exc.code.number).debug(str(exc))
@@ -284,6 +339,18 @@
                 logger.bind(table=table).opt(exception=exc).error("feed failed")
                 await self._back_off(table, failures)
 
+    def _may_wait_for_reader(self, table: str) -> bool:
+        """Return whether a reader tells this node what a return of the store changed.
+
+        All nodes would read all tables at once.
+        """
+        return self.must_reread(table) and not self._must_read(self._clock())
+
+    def _forget_version(self, table: str) -> None:
+        version = self._read_versions.pop(table, None)
+        if version is not None:
+            self._lost_versions[table] = version
+
     async def _back_off(self, table: str, failures: int) -> None:
         """Wait after a failed request, with exponential backoff and jitter.
 
@@ -328,7 +395,8 @@
         if table not in NODE_WRITTEN_TABLES:
             self._polled_at[table] = self._clock()
         for row in found.rows:
-            self._apply_read(RowChange(table, row, lapsed), publish=True)
+            # Also a deletion: what follows a read of the era was written in it.
+            self._apply_read(RowChange(table, row, lapsed, True), publish=True)
         return bool(found.rows)
 
     def _must_read(self, now: float) -> bool:
--- a/knapweedhinge/platform/gossip.py
+++ b/knapweedhinge/platform/gossip.py
@@ -11,6 +11,7 @@
 from knapweedhinge.core.exceptions import PeerError
 from knapweedhinge.peers import Entry, Peers
 from knapweedhinge.peers.topics import ROW_CHANGES
+from knapweedhinge.platform.eras import Version
 from knapweedhinge.platform.feeds import Feeds, RowChange
 from knapweedhinge.platform.store import Row
 
@@ -30,6 +31,8 @@
     value: bytes | None
     lapsed: bool = False
     compressed: bool = False
+    era: int = 0
+    is_new: bool = False
 
 
 class RowGossip:
@@ -49,9 +52,11 @@
                 "row too large to pass on"
             )
             return
-        key = f"{change.table}/{row.key}"
+        # Peers keep the entry with the highest number, which goes back with the store.
+        era = f"{row.version.era}:" if row.version.era else ""
+        key = f"{era}{change.table}/{row.key}"
         try:
-            self._peers.publish(ROW_CHANGES, key, row.version, body)
+            self._peers.publish(ROW_CHANGES, key, row.version.number, body)
         except PeerError as exc:
             logger.bind(table=change.table, key=row.key).warning(
                 f"row not sent to peers: {exc}"
@@ -77,7 +82,14 @@
     if value is not None and len(value) > MAX_VALUE_BYTES:
         return None
     body = _RowBody(
-        change.table, row.key, row.version, value, change.lapsed, compressed
+        change.table,
+        row.key,
+        row.version.number,
+        value,
+        change.lapsed,
+        compressed,
+        row.version.era,
+        change.is_new,
     )
     return msgspec.msgpack.encode(body)
 
@@ -91,5 +103,5 @@
         value = inflater.decompress(value, MAX_DECOMPRESSED_BYTES)
         if inflater.unconsumed_tail:
             raise ValueError("the decompressed row is too long")
-    row = Row(body.key, body.version, value)
-    return RowChange(body.table, row, body.lapsed)
+    row = Row(body.key, Version(body.era, body.version), value)
+    return RowChange(body.table, row, body.lapsed, body.is_new)
--- a/knapweedhinge/platform/store.py
+++ b/knapweedhinge/platform/store.py
@@ -26,8 +26,11 @@
     PoolSettings,
     TransportError,
 )
+from knapweedhinge.platform.eras import ABSENT, Eras, Version
 from knapweedhinge.platform.wire import MS_PER_S, protocol_error
 
+ERA_HEADER = b"store-era"
+
 # A request without an answer after this time counts as lost: the store answers within
 # milliseconds, or within some hundred milliseconds when it is slow.
 CALL_TIMEOUT_S = 1.5
@@ -49,6 +52,15 @@
     default_code = ResultCode.PLATFORM_PROTOCOL
 
 
+class EraChangedError(PlatformError):
+    """The store returned from a copy, so that an expected version means nothing.
+
+    The row must be read again. A write may have taken effect all the same.
+    """
+
+    default_code = ResultCode.PLATFORM_PROTOCOL
+
+
 class LostAnswerError(PlatformError):
     """No answer arrived; the request may have taken effect or may still do so."""
 
@@ -60,7 +72,7 @@
     """A row of the store at one version; ``value`` is None if it is deleted."""
 
     key: str
-    version: int
+    version: Version
     value: bytes | None
 
 
@@ -72,7 +84,7 @@
     """
 
     rows: tuple[Row, ...]
-    version: int
+    version: Version
     now: float
 
 
@@ -80,14 +92,14 @@
 class Put:
     """A row to write, or to delete if ``value`` is None.
 
-    ``expected`` is the version that the stored row must have: 0 if it must not exist,
-    None for any.
+    ``expected`` is the version that the stored row must have: ABSENT if it must not
+    exist, None for any.
     """
 
     table: str
     key: str
     value: bytes | None
-    expected: int | None = None
+    expected: Version | None = None
 
 
 class _RowBody(msgspec.Struct, frozen=True, rename="camel"):
@@ -110,7 +122,7 @@
     ``last_ok_at`` and ``last_failed_at`` are times of the last answered and the last
     failed request, in seconds on ``clock``. ``clock_offset_s`` added to a time on
     ``clock`` gives the time on the store's monotonic clock. ``calls`` and ``failures``
-    count requests since the start.
+    count requests since the start. ``eras`` knows the store's present era.
     """
 
     def __init__(self, ip: str, port: int, clock: Callable[[], float], rng: Random):
@@ -122,6 +134,7 @@
         self._rng = rng
         self._available = True
         self._unavailable_since = 0.0
+        self.eras = Eras()
         self.clock_offset_s = 0.0
         self.calls = 0
         self.failures = 0
@@ -139,10 +152,11 @@
         There are at most ``limit`` of them; the store may return fewer in a page than
         asked for. ``version`` of the result is that of the first page, so that rows
         which changed while the rest was read appear again among the changes since then.
-        Raise PlatformError if the store fails.
+        Raise PlatformError if the store fails, EraChangedError if it returned from a
+        copy meanwhile.
         """
         rows: list[Row] = []
-        first = None
+        version = None
         while True:
             page_rows = (
                 PAGE_ROWS if limit is None else min(PAGE_ROWS, limit - len(rows))
@@ -150,29 +164,38 @@
             query = {"table": table, "part": "", "limit": str(page_rows)}
             if after:
                 query["from"] = after + "\0"
-            body = await self._get("/knapweedhinge/rows-get", query, CALL_TIMEOUT_S)
-            first = first or body
-            rows += [_row(row_body) for row_body in body.rows]
+            body, era = await self._get(
+                "/knapweedhinge/rows-get", query, CALL_TIMEOUT_S
+            )
+            version = version or Version(era, body.ver)
+            if not version.is_of_era_of(Version(era)):
+                raise EraChangedError("store: pages of a table are of two eras")
+            rows += [_row(row_body, era) for row_body in body.rows]
             if not body.has_more or not body.rows or len(rows) == limit:
-                return Rows(tuple(rows), first.ver, body.now_ms / MS_PER_S)
+                return Rows(tuple(rows), version, body.now_ms / MS_PER_S)
             after = body.rows[-1].key
 
-    async def changes(self, table: str, since: int, wait_s: float) -> Rows:
+    async def changes(self, table: str, since: Version, wait_s: float) -> Rows:
         """Return the rows changed since a version, waiting up to ``wait_s`` for one.
 
-        Raise HistoryGoneError if the store no longer has these changes, PlatformError
-        if it fails.
+        Raise HistoryGoneError if the store no longer has these changes, also since it
+        returned from a copy, PlatformError if it fails.
         """
+        if since.is_of_era_before(self.eras.newest):
+            raise HistoryGoneError("store: the version is of an earlier era")
         query = {
             "table": table,
-            "sinceRev": str(since),
+            "sinceRev": str(since.number),
             "waitMs": str(int(wait_s * MS_PER_S)),
         }
-        body = await self._get(
+        body, era = await self._get(
             "/knapweedhinge/rows-feed", query, wait_s + CALL_TIMEOUT_S
         )
-        rows = tuple(_row(row_body) for row_body in body.rows)
-        return Rows(rows, body.ver, body.now_ms / MS_PER_S)
+        version = Version(era, body.ver)
+        if since.is_of_era_before(version):
+            raise HistoryGoneError("store: the changes are of a later era")
+        rows = tuple(_row(row_body, era) for row_body in body.rows)
+        return Rows(rows, version, body.now_ms / MS_PER_S)
 
     async def write(self, puts: tuple[Put, ...]) -> Rows:
         """Write rows in one transaction, all or none.
@@ -180,21 +203,28 @@
         The result holds no rows, only their new version and the time. Raise
         RowConflictError, whose ``rows`` are the stored ones, if a row doesn't have its
         expected version; LostAnswerError if it is unknown whether the rows were
-        written.
+        written, EraChangedError if an expected version is of another era than the
+        store.
         """
+        expected = [p.expected for p in puts if p.expected not in (None, ABSENT)]
+        if not all(version.is_of_era_of(self.eras.newest) for version in expected):
+            raise EraChangedError("store: an expected version is of another era")
         data = msgspec.json.encode(_transaction(puts))
-        status, body = await self._call(
+        status, body, era = await self._call(
             "POST", "/knapweedhinge/rows-tx", data, CALL_TIMEOUT_S
         )
         found = _decode(body)
         if status == 412:
             exc = RowConflictError("a row does not have its expected version")
-            exc.rows = tuple(_row(row_body) for row_body in found.rows)
+            exc.rows = tuple(_row(row_body, era) for row_body in found.rows)
             raise exc
-        return Rows((), found.ver, found.now_ms / MS_PER_S)
+        written = Version(era, found.ver)
+        if not all(version.is_of_era_of(written) for version in expected):
+            raise EraChangedError("store: it returned from a copy before the write")
+        return Rows((), written, found.now_ms / MS_PER_S)
 
     async def compare_and_set(
-        self, table: str, key: str, value: bytes, expected: int
+        self, table: str, key: str, value: bytes, expected: Version
     ) -> Row:
         """Write a row of version ``expected``; return the row that is then stored.
 
@@ -213,6 +243,8 @@
                         "store: a conflict whose answer lacks the row"
                     ) from exc
                 return stored
+            except EraChangedError:
+                raise
             except PlatformError as exc:
                 logger.bind(table=table, key=key, attempt=attempt).info(
                     f"conditional write not confirmed: {exc}"
@@ -231,7 +263,7 @@
     async def insert(self, table: str, key: str, value: dict, write_id: str) -> Row:
         """Insert a row; raise RowConflictError if another one has this key."""
         data = msgspec.json.encode(value)
-        row = await self.compare_and_set(table, key, data, 0)
+        row = await self.compare_and_set(table, key, data, ABSENT)
         if row.value != data:
             raise RowConflictError(f"{table}/{key} exists already")
         return row
@@ -240,7 +272,7 @@
         self, table: str, key: str, expected_version: int | None, write_id: str
     ) -> None:
         """Delete a row of the expected version, of any version if that is None."""
-        await self.write((Put(table, key, None, expected_version),))
+        await self.write((Put(table, key, None, None),))
 
     async def scan(
         self, table: str, prefix: str, after: str, limit: int
@@ -257,17 +289,20 @@
         self._pool.close_all()
 
     async def _get(self, path: str, query: dict[str, str], timeout_s: float):
-        _, body = await self._call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
+        _, body, era = await self._call(
+            "GET", f"{path}?{urlencode(query)}", b"", timeout_s
+        )
         found = _decode(body)
         self._note_clock(found)
-        return found
+        self.eras.note_version(Version(era, found.ver))
+        return found, era
 
     async def _call(
         self, method: str, target: str, data: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
         self.calls += 1
         try:
-            status, body = await self._exchange(method, target, data, timeout_s)
+            status, body, era = await self._exchange(method, target, data, timeout_s)
         except (ConnectFailedError, PoolFullError) as exc:
             self._note_failure(str(exc))
             raise PlatformUnavailableError(f"store: {exc.message}") from exc
@@ -287,11 +322,11 @@
             raise HistoryGoneError("store: history is gone")
         if status not in (200, 412):
             raise protocol_error(f"store: status {status} for {target}")
-        return status, body
+        return status, body, era
 
     async def _exchange(
         self, method: str, target: str, data: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
         loop = asyncio.get_running_loop()
         channel = await self._pool.acquire(self._clock())
         try:
@@ -306,15 +341,21 @@
                     b"Content-Type: application/json\r\nContent-Length: %d\r\n"
                     % len(data)
                 )
+            began_at = self._clock()
             channel.send(head + b"\r\n" + data, lambda headers: True)
-            status = (await channel.head()).status
+            answer = await channel.head()
+            era = self.eras.answered(
+                [v for name, v in answer.headers if name.lower() == ERA_HEADER],
+                began_at,
+                self._clock(),
+            )
             chunks, size = [], 0
             while chunk := await channel.read():
                 chunks.append(chunk)
                 size += len(chunk)
                 if size > MAX_ANSWER_BYTES:
                     raise AnswerBrokenError(f"the body is too long after {size} bytes")
-            return status, b"".join(chunks)
+            return answer.status, b"".join(chunks), era
         finally:
             self._pool.release(channel, self._clock())
 
@@ -356,7 +397,7 @@
 
 def _transaction(puts: tuple[Put, ...]) -> dict:
     conditions = [
-        {"table": put.table, "part": "", "key": put.key, "ver": put.expected}
+        {"table": put.table, "part": "", "key": put.key, "ver": put.expected.number}
         for put in puts
         if put.expected is not None
     ]
@@ -378,14 +419,15 @@
     return {"ifRev": conditions, "puts": written, "delete": deleted}
 
 
-def _row(body: _RowBody) -> Row:
+def _row(body: _RowBody, era: int) -> Row:
+    version = Version(era, body.ver)
     if body.deleted or body.value is None:
-        return Row(body.key, body.ver, None)
+        return Row(body.key, version, None)
     try:
-        return Row(body.key, body.ver, base64.b64decode(body.value, validate=True))
+        return Row(body.key, version, base64.b64decode(body.value, validate=True))
     except ValueError:
         logger.bind(key=body.key).warning("row value is not base64")
-        return Row(body.key, body.ver, b"")
+        return Row(body.key, version, b"")
 
 
 def _decode(body: bytes) -> _RowsBody:
--- a/knapweedhinge/platform/wire.py
+++ b/knapweedhinge/platform/wire.py
@@ -163,6 +163,13 @@
     slots: Any = 0  # requests processed at once; any type, since few calls need it
 
 
+class EndpointOrderBody(_Camel):
+    """The fields by which an endpoint orders what it says of itself."""
+
+    born: int | None = None
+    seq: int = 0
+
+
 class RolloutBody(_Camel):
     """An operator's order to move a service's traffic to a version."""
 
@@ -195,6 +202,20 @@
 }
 
 
+def stage_of(value: bytes | None) -> StageBody | None:
+    """Return the stage in a row of the status table, None if it holds none."""
+    try:
+        body = decode_json(value or b"", StageBody)
+    except msgspec.MsgspecError:
+        return None  # logged where it is applied
+    return body if body.stage in set(Stage) else None
+
+
+def stage_rank(body: StageBody) -> int:
+    """Return the place of a stage among those of its roll-out, from 0."""
+    return list(Stage).index(Stage(body.stage))
+
+
 def decode(data: bytes, body_type: type[T], where: str) -> T | None:
     """Decode a JSON message; log a malformed one and return None.
 
--- a/knapweedhinge/test/rowstore.py
+++ b/knapweedhinge/test/rowstore.py
@@ -34,13 +34,24 @@
     slow_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The rows of a store at one moment, with the history of their changes."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, bytes]]
+    history: list[tuple[int, str, str, bytes | None]]
+
+
 class RowStoreStandIn:
     """Rows of all tables, versioned by one counter, with a history of changes.
 
     ``rows`` maps table and key to version and value; ``history`` lists version, table,
     key and value of each change, None for a deleted row. A feed can start at version
     ``oldest_feed_version`` or later; earlier changes are no longer known. ``calls``
-    lists the paths of all requests, ``page_rows`` limits the rows of an answer.
+    lists the paths of all requests, ``page_rows`` limits the rows of an answer. ``era``
+    is named in all answers and rises when the store returns from a copy; None stands
+    for a store that names none. ``era_headers`` replace the header that names it.
     """
 
     def __init__(self):
@@ -51,6 +62,8 @@
         self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
         self.history: list[tuple[int, str, str, bytes | None]] = []
         self.oldest_feed_version = 0
+        self.era: int | None = None
+        self.era_headers: list[bytes] | None = None
         self._changed = asyncio.Event()
         self._server = Server(self._handle, Limits)
 
@@ -90,6 +103,20 @@
         self.history.clear()
         self._wake_feeds()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all rows, their history and the version."""
+        return StoreCopy(self.version, dict(self.rows), list(self.history))
+
+    def return_from(self, taken: StoreCopy) -> None:
+        """Go back to a copy: later writes are gone, and the next era begins.
+
+        Feeds from versions that the copy lacks are answered 410.
+        """
+        self.version = taken.version
+        self.rows, self.history = dict(taken.rows), list(taken.history)
+        self.era = (self.era or 0) + 1
+        self._wake_feeds()
+
     def _record_change(self, table: str, key: str, value: bytes | None) -> None:
         self.history.append((self.version, table, key, value))
         if value is None:
@@ -108,9 +135,9 @@
             await asyncio.sleep(self.faults.slow_s)
         match self.faults.mode:
             case "busy":
-                return exchange.respond(503, JSON_HEADERS, b"{}")
+                return exchange.respond(503, self._headers(), b"{}")
             case "many":
-                return exchange.respond(429, JSON_HEADERS, b"{}")
+                return exchange.respond(429, self._headers(), b"{}")
             case "reset":
                 return exchange.abort()
             case "silent":
@@ -149,7 +176,7 @@
             int(params.get("waitMs", 0)) / 1000, MAX_FEED_WAIT_S
         )
         while True:
-            if since < self.oldest_feed_version:
+            if since < self.oldest_feed_version or since > self.version:
                 return self._answer(exchange, 410)
             newest: dict[str, dict] = {}
             for version, table, key, value in self.history:
@@ -195,7 +222,13 @@
 
     def _answer(self, exchange: Exchange, status: int, **fields) -> None:
         body = {"ver": self.version, "nowMs": time.monotonic() * 1000, **fields}
-        exchange.respond(status, JSON_HEADERS, msgspec.json.encode(body))
+        exchange.respond(status, self._headers(), msgspec.json.encode(body))
+
+    def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        values = self.era_headers
+        if values is None:
+            values = [] if self.era is None else [b"%d" % self.era]
+        return (*JSON_HEADERS, *((b"Store-Era", value) for value in values))
 
 
 def _row_body(table: str, key: str, version: int, value: bytes | None) -> dict:
--- a/tests/controllers/test_release_controller.py
+++ b/tests/controllers/test_release_controller.py
@@ -49,6 +49,9 @@
     def to_store_clock(self, now):
         return now
 
+    def lost(self, services, now):
+        return ()
+
     async def record(self, release, stage, began_at):
         self.written.append((release, stage, began_at))
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,7 +2,8 @@
 
 Two organisations call, one of which sends many times its usual now and then; engines
 are short of room, a failure domain loses its endpoints, clients stop half-way through a
-request, and the sums of the fleet stop. Shares, room and leaving are switched on.
+request, the sums of the fleet stop, nodes are stopped while they start, and the store
+returns from copies. Shares, room and leaving are switched on.
 
 ``python -m tests.platform.soak --seeds 50`` runs many seeds, one after the other. What
 a seed does is drawn beforehand, but its timing depends on the machine.
@@ -20,12 +21,12 @@
 
 from loguru import logger
 
-from knapweedhinge.conf.relay import Promises
+from knapweedhinge.conf.relay import Promises, RelaySettings
 from knapweedhinge.core.codes import ResultCode
 from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.platform.headers import NOT_RUN_STATUSES
 from knapweedhinge.test.replica import Replica, ReplicaFaults
-from knapweedhinge.test.rowstore import StoreFaults
+from knapweedhinge.test.rowstore import READ_ONLY_TABLES, StoreCopy, StoreFaults
 from tests.platform.soak_load import (
     DOMAINS,
     HARD_LOAD,
@@ -85,6 +86,10 @@
     {"unproven": 503},
 )
 KINDS = ("look", "pay", "chat")
+STREAMS = ("chat", "once")
+ONCE = ("pay", "once")  # kinds of calls that may run once
+# Of one endpoint of each service: so low that the large model is asked, too.
+CONFIDENCE = {"small": 40, "large": 90}
 # Longest time in which an organisation that calls gets no answer: a node that has no
 # sums, and one whose sums are false, starts a part of its calls whatever they say.
 STARVED_S = LONGEST_CALL_S
@@ -124,6 +129,7 @@
         callers = [
             *(asyncio.create_task(self.call_often("acme")) for _ in range(CALLERS)),
             asyncio.create_task(self.call_often("greedy")),
+            asyncio.create_task(self.call_often("acme", kinds=("once",))),
         ]
         disturbing = [
             *(asyncio.create_task(self.disturb_endpoints()) for _ in range(FAULTS)),
@@ -138,7 +144,12 @@
         self.check_runs()
         return self.outcome
 
-    async def call_often(self, organisation: str, until: float = float("inf")) -> None:
+    async def call_often(
+        self,
+        organisation: str,
+        until: float = float("inf"),
+        kinds: tuple[str, ...] = ("look", "pay", "pay", "chat"),
+    ) -> None:
         """Send calls on a kept connection until it is closed, then on another one."""
         while not self.stopping and time.monotonic() < until:
             node = self.rng.choice((self.world.node, self.second))
@@ -150,19 +161,22 @@
                 await asyncio.sleep(0.02)  # a stopped node listens no more
                 continue
             while not self.stopping and time.monotonic() < until:
-                if not await self.call_once(streams, organisation):
+                if not await self.call_once(streams, organisation, kinds):
                     break
             streams[1].close()
 
     def _data(self, name: str, request_id: str, body: bytes, key: str) -> bytes:
-        if name == "chat":
-            return chat(request_id, body=body, key=key)
+        if name in STREAMS:
+            data = chat(request_id, body=body, key=key)
+            return data.replace(b"/chat/", b"/%s/" % name.encode(), 1)
         return request(f"/{name}/x", body=body, request_id=request_id, key=key)
 
-    async def call_once(self, streams, organisation: str) -> bool:
+    async def call_once(
+        self, streams, organisation: str, kinds: tuple[str, ...]
+    ) -> bool:
         """Send one call; return whether the connection can be used again."""
         number = next(self.numbers)
-        name = self.rng.choice(("look", "pay", "pay", "chat"))
+        name = self.rng.choice(kinds)
         request_id, body = f"{name}-{number}", b"body %d" % number
         data = self._data(name, request_id, body, KEYS[organisation])
         began = time.monotonic()
@@ -186,9 +200,9 @@
         wrong = None
         if not reply.whole and not reply.status:
             self.outcome.unread_ids.add(request_id)
-        elif not reply.whole and kind != "chat":
+        elif not reply.whole and kind not in STREAMS:
             wrong = "cut off"
-        elif reply.status == 200 and kind == "chat":
+        elif reply.status == 200 and kind in STREAMS:
             right = reply.body == EVENTS if reply.whole else EVENTS[: len(reply.body)]
             wrong = None if right else "wrong events"
         elif reply.status == 200:
@@ -244,12 +258,12 @@
             for call in replica.calls
         )
         for request_id, count in runs.items():
-            if request_id.startswith("pay") and count > 1:
+            if request_id.startswith(ONCE) and count > 1:
                 self.outcome.wrong.append(f"{request_id}: ran {count} times")
             if count > 3:
                 self.outcome.wrong.append(f"{request_id}: ran {count} times of 3")
         for request_id in self.outcome.not_run_ids & runs.keys():
-            if request_id.startswith("pay"):
+            if request_id.startswith(ONCE):
                 self.outcome.wrong.append(f"{request_id}: refused, but ran")
         for request_id in self.outcome.held_back_ids & runs.keys():
             self.outcome.wrong.append(f"{request_id}: held back, but ran")
@@ -296,11 +310,26 @@
     async def disturb_store(self) -> None:
         """Let the store fail now and then."""
         while not self.stopping:
+            taken = self.world.store.copy()
             await asyncio.sleep(self.rng.uniform(0.3, 1.0))
             self.world.store.faults = StoreFaults(self.rng.choice(STORE_FAULTS))
             await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+            if self.rng.random() < 0.4:
+                await self.return_store(taken)
             self.world.store.faults = StoreFaults()
 
+    async def return_store(self, taken: StoreCopy) -> None:
+        """Let the store return from a copy; others write their rows again."""
+        store = self.world.store
+        written = {name: value for name, (_, value) in store.rows.items()}
+        store.return_from(taken)
+        store.faults = StoreFaults()
+        await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+        for (table, key), value in written.items():
+            version, _ = store.rows.get((table, key), (0, b""))
+            if table in READ_ONLY_TABLES and version <= taken.version:
+                store.put(table, key, value)
+
     async def replace_second_node(self) -> None:
         """Stop the second node as planned, again and again, and start another one."""
         while not self.stopping:
@@ -308,9 +337,24 @@
             old = self.second
             await old.stop(old.clock())
             self.world.store.faults = StoreFaults()
+            if self.rng.random() < 0.4:
+                await self.stop_while_starting(old.settings)
             self.second = RelayNode(old.settings)
             await self.second.start()
 
+    async def stop_while_starting(self, settings: RelaySettings) -> None:
+        """Start a node while the store fails or not, and stop it at any moment."""
+        if self.rng.random() < 0.5:
+            self.world.store.faults = StoreFaults(self.rng.choice(STORE_FAULTS))
+        self.second = RelayNode(settings)
+        await self.second.listen()
+        starting = asyncio.create_task(self.second.begin_serving())
+        await asyncio.sleep(self.rng.uniform(0.0, 0.4))
+        await self.second.stop(self.second.clock())
+        starting.cancel()
+        await asyncio.gather(starting, return_exceptions=True)
+        self.world.store.faults = StoreFaults()
+
 
 def _knows_all(node: RelayNode) -> bool:
     catalog = node.fleet.view.catalog
@@ -328,7 +372,12 @@
 async def soak(seed: int, seconds: float) -> Outcome:
     """Run one seed; return what callers saw."""
     replicas = [
-        Replica(f"{service}-{number}", service, DOMAINS[number % 2])
+        Replica(
+            f"{service}-{number}",
+            service,
+            DOMAINS[number % 2],
+            confidence={} if number else CONFIDENCE,
+        )
         for service in ("shop", "engine")
         for number in range(REPLICAS_PER_SERVICE)
     ]
--- a/tests/platform/soak_load.py
+++ b/tests/platform/soak_load.py
@@ -43,6 +43,7 @@
             route("look", "safe", targetLatencyMs=OBJECTIVE_MS),
             route("pay", "unsafe", targetLatencyMs=OBJECTIVE_MS),
             route("chat", "stream", targetLatencyMs=OBJECTIVE_MS),
+            route("once", "stream", targetLatencyMs=OBJECTIVE_MS, resumable=False),
         ],
         "services": [
             service | ({"engine": engine} if "engine" in service else {})
--- a/tests/platform/test_gossip.py
+++ b/tests/platform/test_gossip.py
@@ -7,6 +7,7 @@
 import pytest
 
 from knapweedhinge.peers.topics import ROW_CHANGES, policy_of
+from knapweedhinge.platform.eras import Version
 from knapweedhinge.platform.feeds import RowChange
 from knapweedhinge.platform.gossip import MAX_DECOMPRESSED_BYTES, pack, unpack
 from knapweedhinge.platform.store import Row
@@ -27,7 +28,9 @@
 
 @pytest.mark.parametrize("value,sent", ROWS)
 def test_rows_are_decoded_as_they_were_encoded(value, sent):
-    change = RowChange("op", Row("config", 7, value), lapsed=True)
+    change = RowChange(
+        "op", Row("config", Version(3, 7), value), lapsed=True, is_new=True
+    )
     packed = pack(change)
     assert (packed is not None) is sent
     if packed is not None:
@@ -50,7 +53,11 @@
 
 
 def test_a_value_too_large_after_decompression_is_an_error():
-    bomb = pack(RowChange("op", Row("config", 1, b"0" * (MAX_DECOMPRESSED_BYTES + 1))))
+    bomb = pack(
+        RowChange(
+            "op", Row("config", Version(0, 1), b"0" * (MAX_DECOMPRESSED_BYTES + 1))
+        )
+    )
     with pytest.raises(ValueError, match="too long"):
         unpack(bomb)
 
--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from knapweedhinge.core.exceptions import PlatformError
+from knapweedhinge.platform.eras import Eras, Version
 from knapweedhinge.platform.feeds import (
     RANKED_TAKEOVER_S,
     UNRANKED_TAKEOVER_S,
@@ -55,8 +56,8 @@
 def test_a_reader_reports_a_failing_store_at_once():
     reader = feeds(0)
     reader._polled_at["op"] = 0.0
-    reader.apply(RowChange("op", Row("config", 5, b"{}")), publish=False)
-    reader._read_versions["op"] = 5
+    reader.apply(RowChange("op", Row("config", Version(0, 5), b"{}")), publish=False)
+    reader._read_versions["op"] = Version(0, 5)
     assert reader.reader_status(0.1) == ReaderStatus(0, True, {"op": 5})
     reader._store._note_failure("503")
     assert reader.reader_status(0.1) == ReaderStatus(0, False, {"op": 5})
@@ -84,20 +85,21 @@
         self._back_at = back_at
         self._answer_s = answer_s
         self.available = True
+        self.eras = Eras()
         self.last_failed_at = float("-inf")
 
     async def read(self, table: str) -> Rows:
         return self._rows()
 
-    async def changes(self, table: str, since: int, wait_s: float) -> Rows:
+    async def changes(self, table: str, since: Version, wait_s: float) -> Rows:
         if self._clock() < self._back_at:
             await asyncio.sleep(POLL_TIMEOUT_S)
             raise PlatformError("no answer")
-        await asyncio.sleep(self._answer_s if since < 5 else wait_s)
+        await asyncio.sleep(self._answer_s if since < Version(0, 5) else wait_s)
         return self._rows()
 
     def _rows(self) -> Rows:
-        version = 5 if self._clock() >= self._back_at else 1
+        version = Version(0, 5 if self._clock() >= self._back_at else 1)
         return Rows((Row("config", version, b"{}"),), version, self._clock())
 
 
@@ -115,7 +117,7 @@
         while clock() < back_at + CONTACT_S:
             node.handle_reader_status(ReaderStatus(0, True, {"op": 5}), clock())
             await asyncio.sleep(0.1)
-        assert node.mirror.newest_version("op") == 5
+        assert node.mirror.newest_version("op") == Version(0, 5)
     finally:
         await node.stop()
 
@@ -130,7 +132,7 @@
     node.follow("op")
     await asyncio.sleep(back_at + CONTACT_S - clock())
     await node.stop()
-    assert node.mirror.newest_version("op") == 5
+    assert node.mirror.newest_version("op") == Version(0, 5)
 
 
 @pytest.mark.looptime
@@ -141,7 +143,7 @@
     node.outgoing.subscribe(sent.append)
     await node.load("op")
 
-    async def history_gone(table: str, since: int, wait_s: float) -> Rows:
+    async def history_gone(table: str, since: Version, wait_s: float) -> Rows:
         del store.changes
         raise HistoryGoneError("compacted")
 
@@ -150,4 +152,6 @@
     node.follow("op")
     await asyncio.sleep(0.1)
     await node.stop()
-    assert [(change.table, change.row.version) for change in sent] == [("op", 5)]
+    assert [(change.table, change.row.version) for change in sent] == [
+        ("op", Version(0, 5))
+    ]
