Let the soak's stand-ins listen on ports of their own test worker

Cause: the test. An endpoint that crashed gave its port back to the kernel, which gave it to a node of another test process; calls to the old address, which nodes may make until they learn of the crash, reached that node. The log of the run shows them as answers of shop-3, with 'status 401', in the half second in which shop-3 was down. Ruled out: an older configuration at a node of the run (both had revision 4 in force).

Change: endpoints and nodes of the soak take ports of their worker's own range.

--- a/knapweedhinge/test/replica.py
+++ b/knapweedhinge/test/replica.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from weakref import WeakKeyDictionary
 
@@ -98,8 +99,9 @@
 
 @dataclass
 class Replica:
-    """One endpoint on a free port of the loopback interface.
+    """One endpoint on the loopback interface.
 
+    ``choose_port`` returns the port of each start; 0 lets the kernel choose a free one.
     ``events`` is the length of a streamed answer, and ``confidence`` the value of the
     confidence header by model. ``calls`` holds the requests that it ran, ``refused``
     those that it did not run. ``crashed`` tells that the process ended by a fault;
@@ -116,6 +118,7 @@
     calls: list[Exchange] = field(default_factory=list)
     refused: list[Exchange] = field(default_factory=list)
     crashed: bool = False
+    choose_port: Callable[[], int] = lambda: 0
 
     def __post_init__(self):
         self._server = Server(self._handle, Limits)
@@ -128,8 +131,8 @@
         return len(self._server.connections)
 
     async def start(self) -> None:
-        """Start to listen on a free port."""
-        await self._server.start("127.0.0.1", 0)
+        """Start to listen."""
+        await self._server.start("127.0.0.1", self.choose_port())
 
     async def stop(self) -> None:
         """Stop listening and abort the calls that still run."""
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -43,6 +43,7 @@
     request,
     two_nodes,
 )
+from tests.processes import free_port
 
 CALLERS = 10
 FAULTS = 4  # of endpoints at the same time
@@ -325,13 +326,24 @@
         return 0
 
 
-async def soak(seed: int, seconds: float) -> Outcome:
-    """Run one seed; return what callers saw."""
-    replicas = [
-        Replica(f"{service}-{number}", service, DOMAINS[number % 2])
+def endpoints() -> list[Replica]:
+    """Return the endpoints of a run.
+
+    They listen on ports of this worker only: calls go on to the port of an endpoint
+    that has crashed, which the kernel may have given to another process meanwhile.
+    """
+    return [
+        Replica(
+            f"{service}-{number}", service, DOMAINS[number % 2], choose_port=free_port
+        )
         for service in ("shop", "engine")
         for number in range(REPLICAS_PER_SERVICE)
     ]
+
+
+async def soak(seed: int, seconds: float) -> Outcome:
+    """Run one seed; return what callers saw."""
+    replicas = endpoints()
     promises = Promises(grace_s=GRACE_S, retry_allowance=1_000.0)
     async with two_nodes(replicas, promises=promises, **SWITCHED_ON) as (world, second):
         world.change(**short_of_room())
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -231,7 +231,7 @@
     With ``joined``, wait until they know each other.
     """
     first_listen, second_listen = (
-        ListenSettings(vm, "127.0.0.1", 0, domain, "here", free_port())
+        ListenSettings(vm, "127.0.0.1", free_port(), domain, "here", free_port())
         for vm, domain in (("vm-1", "a"), ("vm-2", "b"))
     )
     async with World(replicas, catalog(), listen=first_listen, **settings) as world:
