Record when suspected prompt parts were last answered

What callers saw: a node that had just started could refuse all calls with a part in their prompt (503, Retry-After 60) for up to an hour, although each crash that had cut off calls with it was followed by an answer.

Cause: an answer clears the crashes before it, but is told to peers only if it cleared two or more, and a crash's record didn't say when its parts were last answered. Records that weren't trimmed yet, or came back with the store, counted together at the node that read them. Ruled out: the return of the store as the only way; the test needs no store.

Change: records hold the time of the last answers of their suspected parts (128 at most), and restoring one drops the crashes before those times. Records and nodes of both formats read each other (checked by hand: an older struct skips the two fields, a newer one has none).

Evidence: 8 of 12 rows of the new test failed before and pass; the 4 rows of a part that was never answered passed before and do now. 50 tests of records and the tracker pass.

--- a/knapweedhinge/controllers/crashrecords.py
+++ b/knapweedhinge/controllers/crashrecords.py
@@ -10,7 +10,7 @@
 import msgspec
 import xxhash
 
-from knapweedhinge.routing.crashes import Crash, CutCall
+from knapweedhinge.routing.crashes import NO_ANSWERS, Crash, CutCall, PartAnswers
 
 # Shortest time in seconds between a write of a record and one that only removes
 # suspects from it: they are cleared one after another.
@@ -23,7 +23,8 @@
     ``writer`` is the VM of that node, ``at`` the wall-clock time of the crash in
     seconds. ``suspects`` maps fingerprints to whether the request was answering,
     ``calls`` holds fingerprint, parts and whether it was answering of each call with
-    suspected parts in its prompt.
+    suspected parts in its prompt. ``answered`` and ``completed`` hold the wall-clock
+    time of the last answer of each suspected part: that began, and that was complete.
     """
 
     writer: str
@@ -32,6 +33,13 @@
     at: float
     suspects: dict[str, bool]
     calls: tuple[tuple[str, tuple[str, ...], bool], ...] = ()
+    answered: dict[str, float] = {}
+    completed: dict[str, float] = {}
+
+    @property
+    def answers(self) -> PartAnswers:
+        """Return when the suspected parts were last answered before this record."""
+        return PartAnswers(self.answered, self.completed)
 
     @property
     def crash(self) -> Crash:
@@ -48,8 +56,13 @@
         )
 
 
-def record_of(crash: Crash, writer: str) -> CrashRecord:
-    """Return the record of a crash that the VM ``writer`` keeps."""
+def record_of(
+    crash: Crash, writer: str, answers: PartAnswers = NO_ANSWERS
+) -> CrashRecord:
+    """Return the record of a crash that the VM ``writer`` keeps.
+
+    ``answers`` are those that it knows of the parts that the crash makes suspects.
+    """
     return CrashRecord(
         writer,
         crash.endpoint_id,
@@ -61,6 +74,8 @@
                 (call.fingerprint, call.parts, call.answering) for call in crash.calls
             )
         ),
+        answers.begun,
+        answers.complete,
     )
 
 
--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -12,9 +12,11 @@
 
 from knapweedhinge.conf import VotedLimits
 from knapweedhinge.routing.crashes import (
+    NO_ANSWERS,
     Clearance,
     Crash,
     CutCall,
+    PartAnswers,
     QuarantineEntries,
     Trial,
 )
@@ -300,11 +302,39 @@
         """Return whether evidence of the wall-clock time ``at`` counts no more."""
         return at <= self._wall(now) - limits.quarantine_s
 
-    def restore(self, crash: Crash, limits: VotedLimits, now: float) -> None:
-        """Add a crash that was recorded before, by any node."""
-        if not self.is_expired(crash.at, limits, now):
-            self._quarantine.evidence.add_crash(crash)
-            self._share_with_prompts(crash.id, min(now, crash.at - self._epoch_s))
+    def last_answers(self, crash: Crash) -> PartAnswers:
+        """Return when the parts that a crash makes suspects were last answered."""
+        cut = {part for call in crash.calls if call.answering for part in call.parts}
+        parts = {
+            part for call in crash.calls if not call.answering for part in call.parts
+        }
+        return PartAnswers(
+            self._wall_times(self._prompts.last_answers(parts)),
+            self._wall_times(self._cut_prompts.last_answers(cut)),
+        )
+
+    def restore(
+        self,
+        crash: Crash,
+        limits: VotedLimits,
+        now: float,
+        answers: PartAnswers = NO_ANSWERS,
+    ) -> None:
+        """Add a crash that was recorded before, by any node.
+
+        ``answers`` are those known when it was recorded. They clear the parts of the
+        crashes before them, whose own records may be older.
+        """
+        if self.is_expired(crash.at, limits, now):
+            return
+        self._quarantine.evidence.add_crash(crash)
+        self._share_with_prompts(crash.id, min(now, crash.at - self._epoch_s))
+        for prompts, times in (
+            (self._prompts, answers.begun),
+            (self._cut_prompts, answers.complete),
+        ):
+            for part, at in times.items():
+                prompts.answered((part,), min(now, at - self._epoch_s))
 
     def completed(self, fingerprint: str, now: float) -> None:
         """Clear a suspect whose request was answered without a crash."""
@@ -427,6 +457,9 @@
     def _publish(self, key: str, entries: QuarantineEntries) -> None:
         self.updates_for_peers.on_next(KeyedUpdate(key, QuarantineUpdate(entries)))
 
+    def _wall_times(self, times: dict[str, float]) -> dict[str, float]:
+        return {name: self._wall(at) for name, at in times.items()}
+
     def _wall(self, now: float) -> float:
         return now + self._epoch_s
 
--- a/knapweedhinge/node/crash_recorder.py
+++ b/knapweedhinge/node/crash_recorder.py
@@ -22,6 +22,7 @@
 from knapweedhinge.filters.relay import RelayContext
 from knapweedhinge.platform import wire
 from knapweedhinge.platform.store import Put, Row, Store
+from knapweedhinge.routing.crashes import Crash
 
 SCAN_INTERVAL_S = 5.0  # between two looks at all records, for those to trim or delete
 # Writes a second by all nodes together, should all have noticed a crash. The smallest
@@ -66,7 +67,9 @@
                 self._records.note(record.crash.id, record.crash, row.version, now)
             else:
                 self._rows_of_others[row.key] = record
-            self._quarantine.restore(record.crash, self._ctx.limits, now)
+            self._quarantine.restore(
+                record.crash, self._ctx.limits, now, record.answers
+            )
         self._changed.clear()
         if loaded:
             logger.bind(records=loaded).info("crash records read")
@@ -136,8 +139,7 @@
             Put(
                 wire.NODES_TABLE,
                 wire.CRASH_PREFIX + record_key(change.crash_id, self._vm),
-                change.crash
-                and msgspec.msgpack.encode(record_of(change.crash, self._vm)),
+                change.crash and self._encoded(change.crash),
                 change.version,
             )
             for change in changes
@@ -170,6 +172,10 @@
                 change.crash_id, change.crash, 0 if deleted else version, now
             )
 
+    def _encoded(self, crash: Crash) -> bytes:
+        answers = self._quarantine.last_answers(crash)
+        return msgspec.msgpack.encode(record_of(crash, self._vm, answers))
+
     async def _delete_expired(self, now: float) -> None:
         """Delete the records that nodes left behind and that count no more."""
         expired = [
--- a/knapweedhinge/routing/crashes.py
+++ b/knapweedhinge/routing/crashes.py
@@ -5,7 +5,7 @@
 because they are compared between nodes.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -96,6 +96,21 @@
     return frozenset(ordered[:MAX_CALLS_PER_CRASH])
 
 
+@dataclass(frozen=True, slots=True)
+class PartAnswers:
+    """When calls with suspected parts in their prompts were last answered.
+
+    Both map the keys of parts to wall-clock seconds: ``begun`` to the latest answer
+    that began, ``complete`` to the latest complete one.
+    """
+
+    begun: dict[str, float] = field(default_factory=dict)
+    complete: dict[str, float] = field(default_factory=dict)
+
+
+NO_ANSWERS = PartAnswers()
+
+
 @dataclass(frozen=True, slots=True)
 class Clearance:
     """Record that a suspect request was answered completely at the time ``at``."""
--- a/knapweedhinge/routing/promptquarantine.py
+++ b/knapweedhinge/routing/promptquarantine.py
@@ -12,6 +12,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import xxhash
@@ -22,6 +23,7 @@
 MAX_CRASHES = 1024  # number of crashes kept, the latest ones
 MAX_PARTS_PER_CALL = 32  # number of suspected parts kept for each call
 MAX_ANSWERED = 8192  # number of parts whose last answer is remembered
+MAX_RECORDED_ANSWERS = 128  # of them in a crash's record, which the store limits
 # Crashes without an answer in between before a part is blamed, and the fewest different
 # calls among them: a call that crashes engines alone is blamed for its whole content.
 STRIKES = 3
@@ -152,6 +154,19 @@
             if crash_id in self._strikes.get(part, ())
         )
 
+    def last_answers(self, parts: Iterable[str]) -> dict[str, float]:
+        """Return when each of these parts was last answered, without those never seen.
+
+        Only the ``MAX_RECORDED_ANSWERS`` latest answers are returned.
+        """
+        known = {
+            part: at
+            for part in parts
+            if (at := self._answered_at.get(part)) is not None
+        }
+        latest = sorted(known, key=known.__getitem__)[-MAX_RECORDED_ANSWERS:]
+        return {part: known[part] for part in latest}
+
     def suspected_since(self, parts: tuple[str, ...]) -> float | None:
         """Return when the last crash happened that suspects a part, None if none does.
 
--- a/tests/platform/test_crash_records.py
+++ b/tests/platform/test_crash_records.py
@@ -250,3 +250,41 @@
     assert set(tracker.open_crashes(LIMITS, 2.0)) == {"e1/i1"}
     tracker.completed("p", 2.0)
     assert tracker.open_crashes(LIMITS, 2.0) == {}
+
+
+ANSWERED_BETWEEN = {
+    # crashes that cut off calls with a part, whether it was answered after each, and
+    # whether a node that starts refuses it
+    "answered after each": (3, True, False),
+    "answered after each of many": (6, True, False),
+    "never answered": (3, False, True),
+}
+
+
+@pytest.mark.parametrize("answering", [False, True])
+@pytest.mark.parametrize("backwards", [False, True])
+@pytest.mark.parametrize(
+    "count,answered,refused", ANSWERED_BETWEEN.values(), ids=ANSWERED_BETWEEN
+)
+def test_a_part_answered_between_crashes_is_not_refused_by_a_node_that_starts(
+    count, answered, refused, backwards, answering
+):
+    """Records of crashes that an answer had cleared counted together after a start."""
+    epoch_s, now, records = 1_000_000.0, 0.0, []
+    tracker = QuarantineTracker(epoch_s)
+    for number in range(count):
+        engine = EndpointView(f"e{number}", "", "a", "here", incarnation="i1")
+        tracker.broke_off(engine, f"c{number}", now, ("part",), answering=answering)
+        crash = tracker.crashed(engine, LIMITS, now)
+        kept = tracker.open_crashes(LIMITS, now)[crash.id]
+        records.append(record_of(kept, "vm-1", tracker.last_answers(kept)))
+        if answered:
+            tracker.answered(("part",), now + 2.0, complete=True)
+        now += 4.0
+    assert bool(tracker.blamed_parts(("part",), LIMITS, now)) is refused
+    started = QuarantineTracker(epoch_s - 50.0)  # of a node whose clock began later
+    for record in reversed(records) if backwards else records:
+        packed = msgspec.msgpack.encode(record)
+        restored = msgspec.msgpack.decode(packed, type=CrashRecord)
+        started.restore(restored.crash, LIMITS, now + 50.0, restored.answers)
+    assert bool(started.blamed_parts(("part",), LIMITS, now + 50.0)) is refused
