Settle crash records after a return of the store, also deleted ones

What was suspected when the eras were taken back: records of crashes that nodes had deleted come back with the copy, and nobody deletes them again; a node that starts reads them.

Cause: forget_stored() kept only the records that nodes still held; a write whose expected version was of an earlier era failed again and again (EraChangedError) and held up the records written with it; a write answered before the return counted as stored after it.

Change: after a return every record is unknown, also those deleted in the last 60 s; an unknown one is written or deleted whatever the store holds, once.

Evidence: 5 of the 8 rows of the new test fail with the rule as it was before; 191 tests of records, returns and readers pass.

--- a/knapweedhinge/controllers/crashrecords.py
+++ b/knapweedhinge/controllers/crashrecords.py
@@ -16,6 +16,8 @@
 # Shortest time in seconds between a write of a record and one that only removes
 # suspects from it: they are cleared one after another.
 TRIM_INTERVAL_S = 5.0
+# Age of the oldest copy from which the store may return.
+COPY_MAX_AGE_S = 60.0
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -120,6 +122,7 @@
     def __init__(self, absent: Any = 0):
         self._absent = absent
         self._stored: dict[str, _Stored] = {}
+        self._deleted_at: dict[str, float] = {}
 
     def __contains__(self, crash_id: str) -> bool:
         known = self._stored.get(crash_id)
@@ -133,19 +136,34 @@
     def note(
         self, crash_id: str, crash: Crash | None, version: Any, now: float
     ) -> None:
-        """Note what the store holds: the row's content and version."""
+        """Note what the store holds: the row's content and version.
+
+        Neither is given if that isn't known.
+        """
         if crash is None and version == self._absent:
-            self._stored.pop(crash_id, None)
+            if self._stored.pop(crash_id, None) is not None:
+                self._deleted_at[crash_id] = now
         else:
             self._stored[crash_id] = _Stored(crash, version, now)
 
-    def forget_stored(self) -> None:
-        """Note that the store may have lost or changed each record.
+    def forget_stored(self, now: float) -> None:
+        """Note that the store may have lost, changed or restored each record.
 
-        Those that still count are due again, whatever the store holds of them.
+        All are due again, whatever the store holds of them, also those that were
+        deleted ``COPY_MAX_AGE_S`` ago or less.
         """
-        unknown = _Stored(None, None, float("-inf"))
-        self._stored = dict.fromkeys(self.crash_ids, unknown)
+        self._deleted_at = {
+            crash_id: at
+            for crash_id, at in self._deleted_at.items()
+            if now - at <= COPY_MAX_AGE_S
+        }
+        names = (*self._stored, *self._deleted_at)
+        self._stored = dict.fromkeys(names, _Stored(None, None, float("-inf")))
+
+    @property
+    def unknown_ids(self) -> tuple[str, ...]:
+        """Return the ids of the records whose state in the store isn't known."""
+        return tuple(name for name, row in self._stored.items() if row.version is None)
 
     def due(
         self, crash_ids: Iterable[str], open_crashes: dict[str, Crash], now: float
@@ -162,7 +180,9 @@
                 continue
             known = known or _Stored(None, self._absent, float("-inf"))
             rested = now - known.written_at >= TRIM_INTERVAL_S
-            if _adds(wanted, known.crash) or (wanted != known.crash and rested):
+            unknown = known.version is None
+            differs = wanted != known.crash and rested
+            if unknown or differs or _adds(wanted, known.crash):
                 changes.append(RecordChange(crash_id, wanted, known.version))
         return tuple(changes)
 
--- a/knapweedhinge/node/crash_recorder.py
+++ b/knapweedhinge/node/crash_recorder.py
@@ -22,7 +22,7 @@
 from knapweedhinge.filters.relay import RelayContext
 from knapweedhinge.platform import wire
 from knapweedhinge.platform.eras import ABSENT
-from knapweedhinge.platform.store import Put, Row, Store
+from knapweedhinge.platform.store import EraChangedError, Put, Row, Store
 from knapweedhinge.routing.crashes import Crash
 
 SCAN_INTERVAL_S = 5.0  # between two looks at all records, for those to trim or delete
@@ -110,6 +110,7 @@
         open_crashes = self._quarantine.open_crashes(self._ctx.limits, now)
         looked_at = tuple(open_crashes) if scan else tuple(self._changed)
         wanted = [crash_id for crash_id in looked_at if self._is_kept(crash_id, now)]
+        wanted += self._records.unknown_ids
         if scan:
             wanted += [i for i in self._records.crash_ids if i not in open_crashes]
         changes = self._records.due(dict.fromkeys(wanted), open_crashes, now)
@@ -132,13 +133,10 @@
         return crash_id in self._quarantine.own_crash_ids
 
     def _note_era(self, eras: tuple[int, int]) -> None:
-        """Write this node's records again after a return of the store from a copy."""
-        kept = self._records.crash_ids
-        self._records.forget_stored()
-        for crash_id in kept:
-            self._changed.setdefault(crash_id, self._clock())
-        if kept:
-            logger.bind(records=len(kept)).info("crash records to be written again")
+        """Bring this node's records up to date after a return of the store."""
+        self._records.forget_stored(self._clock())
+        if unknown := self._records.unknown_ids:
+            logger.bind(records=len(unknown)).info("crash records to be written again")
             self._woken.set()
 
     def _note_evidence(self, crash_id: str) -> None:
@@ -171,6 +169,9 @@
                     now,
                 )
             raise
+        except EraChangedError:
+            self._note_unknown(changes, now)
+            raise
         except PlatformError as exc:
             if exc.code is not ResultCode.PLATFORM_PROTOCOL:
                 raise
@@ -178,12 +179,19 @@
                 f"crash records refused by the store: {exc}"
             )
             version = ABSENT
+        if version != ABSENT and version.is_of_era_before(self._store.eras.newest):
+            self._note_unknown(changes, now)  # the store returned since it answered
+            return
         for change in changes:
             deleted = change.crash is None
             self._records.note(
                 change.crash_id, change.crash, ABSENT if deleted else version, now
             )
 
+    def _note_unknown(self, changes: tuple[RecordChange, ...], now: float) -> None:
+        for change in changes:
+            self._records.note(change.crash_id, None, None, now)
+
     def _encoded(self, crash: Crash) -> bytes:
         answers = self._quarantine.last_answers(crash)
         return msgspec.msgpack.encode(record_of(crash, self._vm, answers))
--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -355,10 +355,10 @@
         """Wait after a failed request, with exponential backoff and jitter.
 
         The time that the request took counts: requests that time out are far enough
-        apart already. Wait no longer if this node is behind: the store answers the
-        reader again.
+        apart already. Wait no longer if this node is behind, or if it must read and
+        the store is known to have returned from a copy meanwhile: it answers again.
         """
-        now = self._clock()
+        now, era = self._clock(), self._store.eras.newest
         last_seen_at = max(self._reader_seen_at.values(), default=float("-inf"))
         without_reader = now - last_seen_at > UNRANKED_TAKEOVER_S
         max_backoff_s = MAX_BACKOFF_S if without_reader else MAX_BACKOFF_WITH_READER_S
@@ -366,7 +366,13 @@
         requested_at = self._requested_at.get(table, now)
         backoff_s = max(BACKOFF_BASE_S, backoff_s - (now - requested_at))
         backoff_s *= self._rng.uniform(0.5, 1.0)
-        await self._wait_unless_behind(table, lambda: backoff_s, lambda now: False)
+        await self._wait_unless_behind(
+            table,
+            lambda: backoff_s,
+            lambda now: (
+                era.is_of_era_before(self._store.eras.newest) and self._must_read(now)
+            ),
+        )
 
     async def _poll_when_due(self, table: str) -> None:
         """Long-poll once if this node must read, else wait and then poll."""
--- a/tests/platform/test_crash_records.py
+++ b/tests/platform/test_crash_records.py
@@ -9,6 +9,7 @@
 
 from knapweedhinge.conf import VotedLimits
 from knapweedhinge.controllers.crashrecords import (
+    COPY_MAX_AGE_S,
     TRIM_INTERVAL_S,
     CrashRecord,
     CrashRecords,
@@ -213,6 +214,36 @@
     assert all(change.version == (7 if stored else 0) for change in changes)
 
 
+RETURNS = {
+    # what the node did with its record before the store returned from a copy, seconds
+    # since then, what it still knows of the crash, the change that is due
+    "written": ([CRASH], 1.0, CRASH, [CRASH]),
+    "written, all cleared since": ([CRASH], 1.0, None, [None]),
+    "deleted": ([CRASH, None], 1.0, None, [None]),
+    "deleted long before": ([CRASH, None], COPY_MAX_AGE_S + 1.0, None, []),
+}
+
+
+@pytest.mark.parametrize("twice", [False, True])
+@pytest.mark.parametrize("writes,age_s,known,due", RETURNS.values(), ids=RETURNS)
+def test_records_that_the_copy_may_lack_or_bring_back_are_settled(
+    writes, age_s, known, due, twice
+):
+    """Records that nodes had deleted came back with the store, and nobody knew."""
+    records = CrashRecords()
+    for crash in writes:
+        records.note(CRASH.id, crash, 7 if crash else 0, 0.0)
+    for _ in range(1 + twice):
+        records.forget_stored(age_s)
+    open_crashes = {CRASH.id: known} if known else {}
+    changes = records.due(records.unknown_ids, open_crashes, age_s)
+    assert [change.crash for change in changes] == due
+    assert all(change.version is None for change in changes)
+    for change in changes:
+        records.note(CRASH.id, change.crash, 9 if change.crash else 0, age_s)
+    assert records.unknown_ids == ()
+
+
 def test_a_record_holds_the_whole_evidence():
     crash = replace(CRASH, calls=frozenset({CutCall("p", ("x", "y"))}))
     assert record_of(crash, "vm-1").crash == crash
