Count a crash that peers tell of from its own time, and tell of it anew once answered

What callers saw: all streams refused by a node that had joined shortly before (503, 2001 'calls with these parts in their prompts crashed endpoints', Retry-After 60), while its peers answered the same calls. For up to an hour, and only ended by chance.

Crashes in mid-answer, heard at one moment, counted as one instead. Ruled out as the only way: records that come back with a copy of the store (rows of the test without records fail as well).

Change: merge() uses the crash's own time; every 5 s a node tells again, under the same key, what answers have left of the crashes with its own requests.

--- a/knapweedhinge/controllers/quarantinetracker.py
+++ b/knapweedhinge/controllers/quarantinetracker.py
@@ -269,29 +269,33 @@
 
         That is the requests that weren't answered since, and the suspected parts.
         """
-        evidence, found = self._quarantine.evidence, {}
-        for crash in evidence.crashes.values():
-            if self.is_expired(crash.at, limits, now):
-                continue
-            fingerprints = frozenset(
-                name
-                for name in crash.fingerprints
-                if evidence.last_cleared(name) < crash.at
-            )
-            calls = frozenset(
-                open_call
-                for call in crash.calls
-                if evidence.last_cleared(call.fingerprint) < crash.at
-                and (open_call := self._without_cleared(call, crash.id)).parts
-            )
-            if fingerprints or calls:
-                found[crash.id] = replace(
-                    crash,
-                    fingerprints=fingerprints,
-                    calls=calls,
-                    answering=crash.answering & fingerprints,
-                )
-        return found
+        found = (
+            self._open(crash)
+            for crash in self._quarantine.evidence.crashes.values()
+            if not self.is_expired(crash.at, limits, now)
+        )
+        return {crash.id: crash for crash in found if crash.fingerprints or crash.calls}
+
+    def _open(self, crash: Crash) -> Crash:
+        """Return a crash with the suspects that no answer has cleared since."""
+        evidence = self._quarantine.evidence
+        fingerprints = frozenset(
+            name
+            for name in crash.fingerprints
+            if evidence.last_cleared(name) < crash.at
+        )
+        calls = frozenset(
+            open_call
+            for call in crash.calls
+            if evidence.last_cleared(call.fingerprint) < crash.at
+            and (open_call := self._without_cleared(call, crash.id)).parts
+        )
+        return replace(
+            crash,
+            fingerprints=fingerprints,
+            calls=calls,
+            answering=crash.answering & fingerprints,
+        )
 
     def _without_cleared(self, call: CutCall, crash_id: str) -> CutCall:
         prompts = self._cut_prompts if call.answering else self._prompts
@@ -302,6 +306,20 @@
         """Return whether evidence of the wall-clock time ``at`` counts no more."""
         return at <= self._wall(now) - limits.quarantine_s
 
+    def trim_own_crashes(self, limits: VotedLimits, now: float) -> None:
+        """Tell peers what still counts of the crashes with requests of this node.
+
+        Peers that join later get what was told last. Those that know a crash already
+        keep the evidence that they have.
+        """
+        for crash_id, told in self._own_crashes.items():
+            if self.is_expired(told.at, limits, now):
+                continue
+            kept = self._open(told)
+            if kept != told:
+                self._own_crashes[crash_id] = kept
+                self.updates_for_peers.on_next(_crash_update(kept))
+
     def last_answers(self, crash: Crash) -> PartAnswers:
         """Return when the parts that a crash makes suspects were last answered."""
         cut = {part for call in crash.calls if call.answering for part in call.parts}
@@ -380,7 +398,8 @@
         """
         self._quarantine.evidence.merge(update.entries)
         for crash in update.entries.crashes:
-            self._share_with_prompts(crash.id, now)
+            # A node that joins hears of crashes that were answered long ago.
+            self._share_with_prompts(crash.id, min(now, crash.at - self._epoch_s))
             if own:
                 self._add_own(crash)
             for name in crash.fingerprints & self._answered_at.keys():
--- a/knapweedhinge/node/crash_recorder.py
+++ b/knapweedhinge/node/crash_recorder.py
@@ -105,6 +105,8 @@
 
         Raise PlatformError if the store fails; what was not written stays due.
         """
+        if scan:
+            self._quarantine.trim_own_crashes(self._ctx.limits, now)
         open_crashes = self._quarantine.open_crashes(self._ctx.limits, now)
         looked_at = tuple(open_crashes) if scan else tuple(self._changed)
         wanted = [crash_id for crash_id in looked_at if self._is_kept(crash_id, now)]
--- a/tests/controllers/test_quarantinetracker.py
+++ b/tests/controllers/test_quarantinetracker.py
@@ -141,3 +141,43 @@
     again.broke_off(ENGINE, "after", 0.5)
     assert published[-1].update.entries.crashes[0].fingerprints == {"before", "after"}
     assert again.known_updates() == (published[-1],)
+
+
+JOINS = {
+    # is each crash followed by an answer, how many of the records a node reads that
+    # joins, has the node that told of them looked at them since, is the part refused
+    "answered, all recorded": (True, 6, False, False),
+    "answered, last recorded": (True, 1, False, False),
+    "answered, looked at again": (True, 0, True, False),
+    "answered, both": (True, 6, True, False),
+    "never answered": (False, 0, True, True),
+    "never answered, last recorded": (False, 1, True, True),
+    "never answered, all recorded": (False, 6, True, True),
+}
+
+
+@pytest.mark.parametrize("answering", [False, True])
+@pytest.mark.parametrize("answered,recorded,trimmed,refused", JOINS.values(), ids=JOINS)
+def test_a_node_that_joins_does_not_count_crashes_that_were_answered(
+    answered, recorded, trimmed, refused, answering
+):
+    """It counted each that peers still told of as a new one, and refused the part."""
+    tracker, told, records, now = QuarantineTracker(1e6), {}, [], 0.0
+    tracker.updates_for_peers.subscribe(lambda keyed: told.update({keyed.key: keyed}))
+    for number in range(6):
+        engine = EndpointView(f"e{number}", "", "a", "here", incarnation="i1")
+        tracker.broke_off(engine, f"c{number}", now, ("part",), answering=answering)
+        crash = tracker.crashed(engine, LIMITS, now)
+        kept = tracker.open_crashes(LIMITS, now)[crash.id]
+        records.append((kept, tracker.last_answers(kept)))
+        if answered:
+            tracker.answered(("part",), now + 2.0, complete=True)
+        now += 4.0
+    if trimmed:
+        tracker.trim_own_crashes(LIMITS, now)
+    joined = QuarantineTracker(1e6)
+    for kept, answers in records[len(records) - recorded :]:
+        joined.restore(kept, LIMITS, now, answers)
+    for keyed in told.values():
+        joined.merge(keyed.update, now)
+    assert bool(joined.blamed_parts(("part",), LIMITS, now)) is refused
