Let the crash soak stop no more endpoints than are live

Cause: the test; it draws up to four endpoints to stop from those that are live, of which trials with the count printed had as few as four (of ten; each is away for a while after a crash). With fewer it raised.

--- a/tests/platform/crash_soak.py
+++ b/tests/platform/crash_soak.py
@@ -153,7 +153,8 @@
                     self.world.store.faults = StoreFaults()
                 case "endpoints":
                     gap_s = self.rng.choice((0.0, 0.2))
-                    for replica in self.rng.sample(self.live, self.rng.randint(1, 4)):
+                    count = min(self.rng.randint(1, 4), len(self.live))
+                    for replica in self.rng.sample(self.live, count):
                         if not replica.crashed:
                             replica.crashed = True
                             self.stopped.add(replica.id)
