Test a second signal and SIGHUP during a stop at the start

Three rows of the table of stops stood on reading alone. Requests that a starting node holds are answered all the same if SIGTERM comes twice, with SIGINT, or with SIGHUP behind it: the new rows passed at once (17 passed), nothing had to change.

--- a/tests/platform/test_stop_while_starting.py
+++ b/tests/platform/test_stop_while_starting.py
@@ -18,6 +18,7 @@
 GRACE_S = 3.0
 UNREAD_S = 0.2  # a client may take a connection that ends so soon for one not read
 CALL_INTERVAL_S = 0.01
+SIGNAL_INTERVAL_S = 0.01
 
 
 def starting_world(**settings) -> World:
@@ -45,19 +46,22 @@
 
 
 STOPS = {
-    # how the store fails while the node starts, the signal
-    "silent store": ("silent", signal.SIGTERM),
-    "silent store, SIGINT": ("silent", signal.SIGINT),
-    "busy store": ("busy", signal.SIGTERM),
-    "store over its rate": ("many", signal.SIGTERM),
-    "store that resets": ("reset", signal.SIGTERM),
-    "store without a catalog": ("empty", signal.SIGTERM),
+    # how the store fails while the node starts, the signals
+    "silent store": ("silent", [signal.SIGTERM]),
+    "silent store, SIGINT": ("silent", [signal.SIGINT]),
+    "silent store, both": ("silent", [signal.SIGTERM, signal.SIGINT]),
+    "silent store, twice": ("silent", [signal.SIGTERM, signal.SIGTERM]),
+    "silent store, SIGHUP": ("silent", [signal.SIGTERM, signal.SIGHUP]),
+    "busy store": ("busy", [signal.SIGTERM]),
+    "store over its rate": ("many", [signal.SIGTERM]),
+    "store that resets": ("reset", [signal.SIGTERM]),
+    "store without a catalog": ("empty", [signal.SIGTERM]),
 }
 
 
-@pytest.mark.parametrize("mode,signum", STOPS.values(), ids=STOPS)
+@pytest.mark.parametrize("mode,signals", STOPS.values(), ids=STOPS)
 async def test_requests_held_for_a_catalog_are_refused_when_the_node_is_stopped(
-    tmp_path, mode, signum
+    tmp_path, mode, signals
 ):
     """The process ended at once, which closed their connections without an answer."""
     loop, sent = asyncio.get_running_loop(), asyncio.Event()
@@ -85,7 +89,9 @@
             await asyncio.sleep(0.4)
             assert not any(task.done() for task in asking.values())
             began = loop.time()
-            child.send_signal(signum)
+            for signum in signals:
+                child.send_signal(signum)
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
             answers = await asyncio.gather(*asking.values())
             replies = dict(zip(asking, answers, strict=True))
             answered_s = loop.time() - began
