Show the store's era as a gauge, and count the rows kept over a return

Evidence: the new test failed before (no such metric) and passes; the tests of returns, node and core pass.

--- a/knapweedhinge/core/metrics.py
+++ b/knapweedhinge/core/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of one process, rendered for Prometheus."""
+"""Counters, gauges and latency histograms of a process, rendered for Prometheus."""
 
 from collections import Counter
 
@@ -13,11 +13,15 @@
 
 
 class Metrics:
-    """Record latencies by target and stage, and count events by name and label."""
+    """Record latencies by target and stage, count events by name and label.
+
+    Gauges have a name only.
+    """
 
     def __init__(self):
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
         self._counters: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, float] = {}
 
     def observe(self, target: str, stage: str, seconds: float) -> None:
         """Record that a stage of a request took ``seconds``.
@@ -35,6 +39,10 @@
         """Add ``by`` to the counter of this name and label."""
         self._counters[name, label] += by
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge to its present value."""
+        self._gauges[name] = value
+
     def value(self, name: str, label: str = "") -> int:
         """Return the counter of this name and label, 0 if it was never counted."""
         return self._counters[name, label]
@@ -45,6 +53,10 @@
             f'knapweedhinge_{name}_total{{label="{label}"}} {value}'
             for (name, label), value in sorted(self._counters.items())
         ]
+        lines += [
+            f"knapweedhinge_{name} {value:g}"
+            for name, value in sorted(self._gauges.items())
+        ]
         for (target, stage), histogram in sorted(self._histograms.items()):
             lines += _render_histogram(target, stage, histogram)
         return "\n".join([*lines, ""])
--- a/knapweedhinge/node/relay.py
+++ b/knapweedhinge/node/relay.py
@@ -419,6 +419,7 @@
         self.fleet.expire(now)
         self.feeds.settle(now)
         self.fleet.era = self.store.eras.current
+        self.metrics.set_gauge("store_era", self.fleet.era)
         if self.feeds.must_reread(wire.STATUS_TABLE) and any(
             self.peers.owns_release(service) for service in self.fleet.view.stages
         ):
--- a/knapweedhinge/platform/feeds.py
+++ b/knapweedhinge/platform/feeds.py
@@ -188,6 +188,7 @@
                 rows=len(found.rows),
                 absent=len(gone),
                 changed=changed,
+                kept=self.mirror.count_lost(table, self._clock()),
             ).warning("table read after the store's return")
 
     def follow(self, table: str) -> None:
--- a/knapweedhinge/platform/mirror.py
+++ b/knapweedhinge/platform/mirror.py
@@ -110,6 +110,11 @@
         found = in_force(table, held, now)
         return None if found is held.current else found
 
+    def count_lost(self, table: str, now: float) -> int:
+        """Return how many rows in force the store has only in an older state."""
+        keys = [key for name, key in self._held if name == table]
+        return sum(self.lost(table, key, now) is not None for key in keys)
+
     def settle(self, now: float) -> list[tuple[str, Row]]:
         """Take the store's rows whose grace after a return is over; return them."""
         settled = []
--- a/tests/platform/test_returns.py
+++ b/tests/platform/test_returns.py
@@ -8,6 +8,7 @@
 import pytest
 
 from knapweedhinge.conf import ListenSettings
+from knapweedhinge.core.exceptions import PlatformUnavailableError
 from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.platform import mirror, wire
 from knapweedhinge.platform.eras import ABSENT, MAX_HEARD_RISE, Eras, Version
@@ -26,6 +27,7 @@
 from tests.processes import free_port
 
 CONFIG_S = 2.0  # the users' bound for a configuration to be in force
+CATCH_UP_S = 6.0  # the users' bound for a node that was cut off
 GONE_S = 2.3  # time after its departure in which an endpoint gets no more calls
 FILLER_ROWS = 20  # written after the copy was taken, so that versions are given again
 
@@ -331,6 +333,44 @@
         await world.until(lambda: revisions(*nodes) == [wanted, wanted], CONFIG_S)
 
 
+@pytest.mark.parametrize("cut_from", ["store", "peers"])
+async def test_a_node_cut_off_from_store_or_peers_follows_a_return(cut_from):
+    async def turned_away(*args) -> None:
+        raise PlatformUnavailableError("store: unavailable")
+
+    async with two_nodes(shops()) as (world, other):
+        nodes = (world.node, other)
+        taken = world.store.copy()
+        fill(world)
+        await settled(world, *nodes)
+        if cut_from == "store":
+            other.store._exchange = turned_away
+        else:
+            await other.peers.stop()
+        await returned(world, world.node, taken=taken)
+        world.change(routes=[route("new", "safe")])
+        world.store.put("servers", "shop-0", None)
+        wanted = world.catalog["version"]
+        await world.until(lambda: revisions(*nodes) == [wanted, wanted], CATCH_UP_S)
+        await world.until(
+            lambda: all("shop-0" not in known(node) for node in nodes), CATCH_UP_S
+        )
+
+
+async def test_the_era_is_shown_to_operators():
+    world = World(shops(1), catalog())
+    world.store.era = 4
+    async with world:
+        await world.until(lambda: world.node.fleet.era == 4)
+        world.store.return_from(world.store.copy())
+        await world.until(lambda: world.node.fleet.era == 5)
+        reply = await world.ask_server(world.node.metrics_server, "/metrics")
+        lines = reply.body.decode().splitlines()
+        assert "knapweedhinge_store_era 5" in lines
+        assert 'knapweedhinge_store_era_changes_total{label=""} 1' in lines
+        assert world.node.dump()["store"]["era"] == 5
+
+
 async def test_a_node_that_starts_after_a_return_takes_what_its_peers_know():
     """It had only the copy, whose configuration is older."""
     async with two_nodes(shops()) as (world, other):
