--- a/knapweedhinge/controllers/crashrecords.py
+++ b/knapweedhinge/controllers/crashrecords.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 import xxhash
@@ -15,6 +16,8 @@
 # Shortest time in seconds between a write of a record and one that only removes
 # suspects from it: they are cleared one after another.
 TRIM_INTERVAL_S = 5.0
+# Age of the oldest copy from which the store may return.
+COPY_MAX_AGE_S = 60.0
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -92,7 +95,7 @@
     """A record in the store; ``crash`` is None once it was deleted."""
 
     crash: Crash | None
-    version: int
+    version: Any
     written_at: float
 
 
@@ -100,22 +103,26 @@
 class RecordChange:
     """A record to write, or to delete if ``crash`` is None.
 
-    ``version`` is that of the stored row, 0 if there is none.
+    ``version`` is that of the stored row, the one of an absent row if there is none,
+    None if it isn't known.
     """
 
     crash_id: str
     crash: Crash | None
-    version: int
+    version: Any
 
 
 class CrashRecords:
     """The records that this node has in the store, and what has to change in them.
 
-    Times are in seconds on the node's monotonic clock.
+    Times are in seconds on the node's monotonic clock. Versions are the store's;
+    ``absent`` is that of a row that doesn't exist.
     """
 
-    def __init__(self):
+    def __init__(self, absent: Any = 0):
+        self._absent = absent
         self._stored: dict[str, _Stored] = {}
+        self._deleted_at: dict[str, float] = {}
 
     def __contains__(self, crash_id: str) -> bool:
         known = self._stored.get(crash_id)
@@ -127,14 +134,37 @@
         return tuple(crash_id for crash_id in self._stored if crash_id in self)
 
     def note(
-        self, crash_id: str, crash: Crash | None, version: int, now: float
+        self, crash_id: str, crash: Crash | None, version: Any, now: float
     ) -> None:
-        """Note what the store holds: the row's content and version."""
-        if crash is None and not version:
-            self._stored.pop(crash_id, None)
+        """Note what the store holds: the row's content and version.
+
+        Neither is given if that isn't known.
+        """
+        if crash is None and version == self._absent:
+            if self._stored.pop(crash_id, None) is not None:
+                self._deleted_at[crash_id] = now
         else:
             self._stored[crash_id] = _Stored(crash, version, now)
 
+    def forget_stored(self, now: float) -> None:
+        """Note that the store may have lost, changed or restored each record.
+
+        All are due again, whatever the store holds of them, also those that were
+        deleted ``COPY_MAX_AGE_S`` ago or less.
+        """
+        self._deleted_at = {
+            crash_id: at
+            for crash_id, at in self._deleted_at.items()
+            if now - at <= COPY_MAX_AGE_S
+        }
+        names = (*self._stored, *self._deleted_at)
+        self._stored = dict.fromkeys(names, _Stored(None, None, float("-inf")))
+
+    @property
+    def unknown_ids(self) -> tuple[str, ...]:
+        """Return the ids of the records whose state in the store isn't known."""
+        return tuple(name for name, row in self._stored.items() if row.version is None)
+
     def due(
         self, crash_ids: Iterable[str], open_crashes: dict[str, Crash], now: float
     ) -> tuple[RecordChange, ...]:
@@ -148,9 +178,11 @@
             wanted, known = open_crashes.get(crash_id), self._stored.get(crash_id)
             if known is None and wanted is None:
                 continue
-            known = known or _Stored(None, 0, float("-inf"))
+            known = known or _Stored(None, self._absent, float("-inf"))
             rested = now - known.written_at >= TRIM_INTERVAL_S
-            if _adds(wanted, known.crash) or (wanted != known.crash and rested):
+            unknown = known.version is None
+            differs = wanted != known.crash and rested
+            if unknown or differs or _adds(wanted, known.crash):
                 changes.append(RecordChange(crash_id, wanted, known.version))
         return tuple(changes)
 
--- a/knapweedhinge/node/crash_recorder.py
+++ b/knapweedhinge/node/crash_recorder.py
@@ -21,7 +21,8 @@
 from knapweedhinge.core.exceptions import PlatformError, RowConflictError
 from knapweedhinge.filters.relay import RelayContext
 from knapweedhinge.platform import wire
-from knapweedhinge.platform.store import Put, Row, Store
+from knapweedhinge.platform.eras import ABSENT
+from knapweedhinge.platform.store import EraChangedError, Put, Row, Store
 from knapweedhinge.routing.crashes import Crash
 
 SCAN_INTERVAL_S = 5.0  # between two looks at all records, for those to trim or delete
@@ -48,12 +49,13 @@
         self._vm = ctx.settings.listen.vm
         self._store = store
         self._keeps = keeps
-        self._records = CrashRecords()
+        self._records = CrashRecords(ABSENT)
         # Crashes with new evidence that is not recorded yet, and since when.
         self._changed: dict[str, float] = {}
         self._rows_of_others: dict[str, CrashRecord] = {}  # as read, by row key
         self._woken = asyncio.Event()
         ctx.quarantine.evidence_added.subscribe(self._note_evidence)
+        store.eras.changes.subscribe(self._note_era)
 
     def load(self, rows: Iterable[Row], now: float) -> None:
         """Take the records of all nodes from their rows of the store."""
@@ -110,6 +112,7 @@
         open_crashes = self._quarantine.open_crashes(self._ctx.limits, now)
         looked_at = tuple(open_crashes) if scan else tuple(self._changed)
         wanted = [crash_id for crash_id in looked_at if self._is_kept(crash_id, now)]
+        wanted += self._records.unknown_ids
         if scan:
             wanted += [i for i in self._records.crash_ids if i not in open_crashes]
         changes = self._records.due(dict.fromkeys(wanted), open_crashes, now)
@@ -131,6 +134,13 @@
     def _is_own(self, crash_id: str) -> bool:
         return crash_id in self._quarantine.own_crash_ids
 
+    def _note_era(self, eras: tuple[int, int]) -> None:
+        """Bring this node's records up to date after a return of the store."""
+        self._records.forget_stored(self._clock())
+        if unknown := self._records.unknown_ids:
+            logger.bind(records=len(unknown)).info("crash records to be written again")
+            self._woken.set()
+
     def _note_evidence(self, crash_id: str) -> None:
         self._changed.setdefault(crash_id, self._clock())
         if self._keeps(crash_id) or crash_id in self._records:
@@ -157,23 +167,33 @@
                 self._records.note(
                     change.crash_id,
                     record and record.crash,
-                    row.version if row else 0,
+                    row.version if row else ABSENT,
                     now,
                 )
             raise
+        except EraChangedError:
+            self._note_unknown(changes, now)
+            raise
         except PlatformError as exc:
             if exc.code is not ResultCode.PLATFORM_PROTOCOL:
                 raise
             logger.bind(crashes=[change.crash_id for change in changes]).warning(
                 f"crash records refused by the store: {exc}"
             )
-            version = 0
+            version = ABSENT
+        if version != ABSENT and version.is_of_era_before(self._store.eras.newest):
+            self._note_unknown(changes, now)  # the store returned since it answered
+            return
         for change in changes:
             deleted = change.crash is None
             self._records.note(
-                change.crash_id, change.crash, 0 if deleted else version, now
+                change.crash_id, change.crash, ABSENT if deleted else version, now
             )
 
+    def _note_unknown(self, changes: tuple[RecordChange, ...], now: float) -> None:
+        for change in changes:
+            self._records.note(change.crash_id, None, None, now)
+
     def _encoded(self, crash: Crash) -> bytes:
         answers = self._quarantine.last_answers(crash)
         return msgspec.msgpack.encode(record_of(crash, self._vm, answers))
