--- a/tests/platform/test_returns.py
+++ b/tests/platform/test_returns.py
@@ -8,6 +8,7 @@
 import pytest
 
 from knapweedhinge.conf import ListenSettings
+from knapweedhinge.conf.relay import Promises
 from knapweedhinge.core.exceptions import PlatformUnavailableError
 from knapweedhinge.node.relay import RelayNode
 from knapweedhinge.platform import mirror, wire
@@ -23,7 +24,14 @@
 from knapweedhinge.platform.store import EraChangedError, Put, Row
 from knapweedhinge.routing.releases import Stage
 from knapweedhinge.test.replica import Replica
-from tests.platform.world import World, catalog, request, route, two_nodes
+from tests.platform.world import (
+    World,
+    catalog,
+    exchange,
+    request,
+    route,
+    two_nodes,
+)
 from tests.processes import free_port
 
 CONFIG_S = 2.0  # the users' bound for a configuration to be in force
@@ -357,6 +365,50 @@
         )
 
 
+async def test_nodes_that_all_restart_during_a_return_serve_what_the_store_has():
+    """None of them remembers anything; what is written after the return counts."""
+    async with two_nodes(shops()) as (world, other):
+        taken = world.store.copy()
+        fill(world)
+        settings = [world.node.settings, other.settings]
+        await settled(world, world.node, other)
+        await world.node.close()
+        await other.close()
+        async with AsyncExitStack() as stack:
+            started = []
+            for cfg in settings:
+                node = RelayNode(cfg)
+                stack.push_async_callback(node.close)
+                started.append(node)
+            starting = [asyncio.create_task(node.start()) for node in started]
+            world.store.return_from(taken)
+            await asyncio.gather(*starting)
+            assert {node.store.eras.current for node in started} == {1}
+            world.change(routes=[route("new", "safe")])
+            wanted = world.catalog["version"]
+            await world.until(lambda: revisions(*started) == [wanted] * 2, CONFIG_S)
+
+
+async def test_calls_in_flight_are_answered_by_a_node_that_stops_during_a_return():
+    slow = Replica("shop-0", "shop")
+    slow.faults.late_s = 0.5
+    async with two_nodes([slow], promises=Promises(grace_s=2.0)) as (world, other):
+        taken = world.store.copy()
+        fill(world)
+        await settled(world, world.node, other)
+        port = other.caller_server.port
+        calls = [
+            asyncio.create_task(exchange(port, request("/pay/x", request_id=f"{n}")))
+            for n in range(3)
+        ]
+        await world.until(lambda: len(slow.calls) == len(calls))
+        stopping = asyncio.create_task(other.stop(other.clock()))
+        world.store.return_from(taken)
+        replies = await asyncio.gather(*calls)
+        await stopping
+    assert [(reply.status, reply.whole) for reply in replies] == 3 * [(200, True)]
+
+
 async def test_the_era_is_shown_to_operators():
     world = World(shops(1), catalog())
     world.store.era = 4
