--- a/tests/platform/test_returns.py
+++ b/tests/platform/test_returns.py
@@ -88,6 +88,17 @@
     await world.until(lambda: all(n.store.eras.current == era for n in nodes), CONFIG_S)
 
 
+async def returned_from_older_configuration(world: World, other) -> int:
+    """Let the store return without a configuration; return the version of that."""
+    taken = world.store.copy()
+    fill(world)
+    world.change(routes=[route("new", "safe")])
+    wanted = world.catalog["version"]
+    await world.until(lambda: revisions(world.node, other) == [wanted, wanted])
+    await returned(world, world.node, other, taken=taken)
+    return wanted
+
+
 @pytest.mark.parametrize("first_era", [None, 7])
 async def test_a_configuration_acknowledged_after_a_return_is_in_force(first_era):
     """Its version had been given out before, so that no node took it."""
@@ -158,12 +169,7 @@
 async def test_a_configuration_does_not_go_back_with_the_store():
     """The copy's configuration is older by the operator's own number."""
     async with two_nodes(shops()) as (world, other):
-        taken = world.store.copy()
-        fill(world)
-        world.change(routes=[route("new", "safe")])
-        wanted = world.catalog["version"]
-        await world.until(lambda: revisions(world.node, other) == [wanted, wanted])
-        await returned(world, world.node, other, taken=taken)
+        wanted = await returned_from_older_configuration(world, other)
         await asyncio.sleep(1.0)
         assert revisions(world.node, other) == [wanted, wanted]
         assert (await world.ask(request("/new/x"))).status == 200
@@ -426,12 +432,7 @@
 async def test_a_node_that_starts_after_a_return_takes_what_its_peers_know():
     """It had only the copy, whose configuration is older."""
     async with two_nodes(shops()) as (world, other):
-        taken = world.store.copy()
-        fill(world)
-        world.change(routes=[route("new", "safe")])
-        wanted = world.catalog["version"]
-        await world.until(lambda: revisions(world.node, other) == [wanted, wanted])
-        await returned(world, world.node, other, taken=taken)
+        wanted = await returned_from_older_configuration(world, other)
         again = await world.restarted(other)
         try:
             await world.until(lambda: revisions(again) == [wanted], 4.0)
