--- a/tests/platform/test_crash_records.py
+++ b/tests/platform/test_crash_records.py
@@ -319,3 +319,12 @@
         restored = msgspec.msgpack.decode(packed, type=CrashRecord)
         started.restore(restored.crash, LIMITS, now + 50.0, restored.answers)
     assert bool(started.blamed_parts(("part",), LIMITS, now + 50.0)) is refused
+
+
+def test_deleted_records_are_remembered_for_a_bounded_time():
+    """Ids of deleted records were forgotten only when the store returned."""
+    records = CrashRecords()
+    for number in range(1_000):
+        records.note(f"e{number}/i1", CRASH, 7, float(number))
+        records.note(f"e{number}/i1", None, 0, float(number))
+    assert len(records._deleted_at) <= COPY_MAX_AGE_S + 1
